Simulator: the same machines in seeded virtual time, network and disks

Cause: faults can't be brought about at will with real processes. Also: two candidates kept electing each other at start; a voter now denies pre-votes for a moment after it voted.

--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -103,6 +103,7 @@
         self.tries = 0
         self.prevotes = None
         self.votes = None
+        self.voted_at = None
         self.views = {}
         self.boot_seen = None
         self.boot_rounds = 0
@@ -315,6 +316,9 @@
             return
         if self.rep.accepted == (0, 1) and not replica.quorum(self.boots or (), self.rep.latest('meta', 'boot')):
             return
+        if self.voted_at is not None and self.now - self.voted_at < self.bounds.elect:
+            self.plan_election()
+            return
         self.tries += 1
         self.prevotes = {self.node: self.term}
         self.counts['prevotes'] += 1
@@ -325,7 +329,9 @@
 
     def m_prevote(self, env):
         # Why: while somebody leads, a returning node must not unseat them.
-        active = self.mode == 'leader' or (self.mode == 'follower' and self.master['id'] != env['f'])
+        # Why also just after a vote: whom we voted for may lead already and not have reached us yet.
+        active = (self.mode == 'leader' or (self.mode == 'follower' and self.master['id'] != env['f'])
+                  or (self.voted_at is not None and self.now - self.voted_at < self.bounds.elect))
         if active or self.rep.accepted == (0, 0):
             return
         self.tell(env['a'], 'prevote_re', term=self.term, accepted=self.rep.accepted)
@@ -364,6 +370,8 @@
         # Why durable first: forgetting this vote would let us vote twice.
         self.raise_term(env['term'], env['f'])
         self.prevotes = None
+        self.voted_at = self.now
+        self.alarms.pop('elect', None)
         self.tell(env['a'], 'vote', term=self.term, accepted=self.rep.accepted, member=self.member())
 
     def m_vote(self, env):
--- a/zinctrail/req/requester.py
+++ b/zinctrail/req/requester.py
@@ -8,8 +8,8 @@
 import dataclasses
 import datetime
 import json
+import random
 import time
-import uuid
 
 import twisted.internet.defer as defer
 import twisted.internet.task as task
@@ -32,20 +32,22 @@
 
 class Requester:
 
-    def __init__(self, reactor, dirs, cell='', home=(), attempts=3, rng=None):
+    def __init__(self, reactor, dirs, cell='', home=(), attempts=3, fetcher=None, clock=time.monotonic, rng=None):
         self.reactor = reactor
         self.dirs = list(dirs)
         self.cell = cell
         self.home = list(home)
         self.attempts = attempts
-        self.fetcher = web.Fetcher(reactor)
+        self.fetcher = fetcher or web.Fetcher(reactor)
+        self.clock = clock
+        self.rng = rng or random.SystemRandom()
         self.answer = None
         self.until = seam.ZERO
         self.asking = None
         self.turn = 0
 
     def now(self):
-        return datetime.timedelta(seconds=time.monotonic())
+        return datetime.timedelta(seconds=self.clock())
 
     @defer.inlineCallbacks
     def standing(self, wait):
@@ -83,7 +85,7 @@
             if ans is None:
                 yield task.deferLater(self.reactor, min(0.2, max(0, (end - self.now()).total_seconds())))
                 continue
-            rid = rid or f'{ans["epoch"]}.{uuid.uuid4().hex[:20]}'
+            rid = rid or f'{ans["epoch"]}.{self.rng.getrandbits(80):020x}'
             attempt += 1
             earlier = reply.outcome
             reply = yield self.once(ans, service, path, method, body, labels, end, rid, attempt)
--- /dev/null
+++ b/zinctrail/sim/cast.py
@@ -0,0 +1,356 @@
+"""Who uses the system in the simulator: endpoints, callers, operators, applications.
+
+Each notes only what it did and saw itself; sim.checks reads those notes.
+"""
+
+import copy
+import json
+import random
+
+import zinctrail.fleet as fleet
+import zinctrail.req.requester as requester
+import zinctrail.req.serving as serving
+import zinctrail.seam as seam
+
+ms = seam.ms
+
+
+class Notes:
+    """All that was seen from outside, in the order of virtual time."""
+
+    def __init__(self):
+        self.replies = []
+        self.runs = []
+        self.sends = []
+        self.states = []
+        self.applies = []
+        self.reads = []
+        self.evacuations = []
+        self.locks = []
+        self.numbers = []
+        self.keys = []
+        self.watches = []
+        self.losses = []
+
+
+class End:
+    """A stand-in endpoint with the real library's judgement inside."""
+
+    def __init__(self, cast, name, addr, service, cell, slots=8, labels=None, beats=True):
+        self.cast, self.world, self.name, self.addr = cast, cast.world, name, addr
+        self.service, self.cell, self.slots, self.labels = service, cell, slots, labels
+        self.up = False
+        self.life = 0
+        self.work = (2, 20)
+        self.cold = 0.0
+        self.warm_in = None
+        # Faults: each is a chance a reply.
+        self.lose, self.garble, self.cut_short, self.misroute = 0.0, 0.0, 0.0, 0.0
+        self.guard = True
+        self.beats = beats
+        self.last_body = b''
+        self.gone_at = None
+        self.probes = 0
+
+    def start(self):
+        self.life += 1
+        self.up = True
+        self.serving = serving.Serving(self.addr, self.service, self.cell, self.slots, self.labels, self.world.rng)
+        self.serving.cold = self.cold
+        self.running = 0
+        self.began = self.world.now
+        self.world.ends[self.addr] = self
+        self.beat(self.life)
+
+    def kill(self):
+        self.up = False
+        self.life += 1
+        if self.world.ends.get(self.addr) is self:
+            del self.world.ends[self.addr]
+
+    def set_state(self, state):
+        self.serving.state = state
+        self.beat(self.life, once=True)
+
+    def warmth(self):
+        """Cold endpoints warm up linearly over their time."""
+        if self.warm_in:
+            left = 1 - (self.world.now - self.began) / self.warm_in
+            self.serving.cold = max(0.0, min(1.0, self.cold * left))
+        return self.serving.cold
+
+    def bears(self):
+        return max(1, self.slots * (1 - self.warmth()))
+
+    def beat(self, life, once=False):
+        if life != self.life or not self.beats:
+            return
+        self.warmth()
+        body = self.serving.beat()
+        state, inc = body['state'], body['inc']
+        rng = self.world.rng
+        dirs = [d for d in self.world.of('dir')]
+        near = [d for d in dirs if d.place.cell == self.cell] or dirs
+        to = rng.choice(near if rng.random() < 0.8 else dirs)
+        sent = self.world.now
+        d = self.world.fetch(self.name, to.place.http, 'POST', '/v1/beat', {}, json.dumps(body).encode(), ms(1500))
+
+        def told(res):
+            if life != self.life:
+                return
+            if res.status == 200 and state != 'ready':
+                self.cast.notes.states.append((self.world.now, sent, inc, state))
+            if res.status == 410:
+                self.serving.mint()
+            if res.status != 200:
+                self.world.after(ms(100), self.beat, life, True)
+        d.addCallback(told)
+        if not once:
+            self.world.after(self.world.bounds.beat, self.beat, life)
+
+    def call(self, call, back):
+        if call.path == '/zt/live':
+            self.probes += 1
+            back(seam.Fetched(*self.serving.live()))
+            return
+        h = call.headers
+        notes, now = self.cast.notes, self.world.now
+        notes.sends.append((now, h['zt-id'], int(h['zt-attempt']), self.service, self.addr, self.serving.inc))
+        inc = h['zt-inc']
+        drop = self.serving.accept(h) if self.guard else None
+        if drop is not None:
+            back(seam.Fetched(*drop))
+            return
+        if not self.guard:
+            self.serving.running += 1
+        self.running += 1
+        notes.runs.append({'t': now, 'id': h['zt-id'], 'attempt': int(h['zt-attempt']), 'inc': self.serving.inc,
+                           'meant': inc, 'addr': self.addr, 'service': self.service, 'cell': self.cell,
+                           'home': h.get('zt-home', ''), 'once': h.get('zt-once'), 'running': self.running,
+                           'bears': self.bears(), 'labels': self.labels or {}})
+        life, rng = self.life, self.world.rng
+        self.world.after(ms(rng.uniform(*self.work)), self.ran, life, h, back)
+
+    def ran(self, life, h, back):
+        if life != self.life:
+            back(seam.Fetched(fault='connection lost'))
+            return
+        self.running -= 1
+        rng = self.world.rng
+        body = json.dumps({'id': h['zt-id'], 'service': self.service, 'by': self.serving.inc}).encode()
+        out = self.serving.outcome(h, 200, body)
+        last, self.last_body = self.last_body, out[2]
+        if rng.random() < self.lose:
+            back(seam.Fetched(fault='connection lost'))
+        elif rng.random() < self.garble:
+            bad = bytearray(out[2])
+            bad[rng.randrange(len(bad))] ^= 1 << rng.randrange(7)
+            back(seam.Fetched(out[0], out[1], bytes(bad)))
+        elif rng.random() < self.cut_short:
+            back(seam.Fetched(out[0], out[1], out[2][:len(out[2]) // 2], True, 'reply cut short'))
+        elif last and rng.random() < self.misroute:
+            back(seam.Fetched(out[0], out[1], last))
+        else:
+            back(seam.Fetched(*out))
+
+
+class FetchFor:
+    """Lets the real requester library fetch through the world's network."""
+
+    def __init__(self, cast, name, spy=None):
+        self.cast, self.name, self.spy = cast, name, spy
+
+    def fetch(self, key, addr, method, path, headers, body, wait):
+        d = self.cast.world.fetch(self.name, addr, method, path, headers, body, wait)
+        return d.addCallback(lambda res: self.spy(addr, headers, res) or res) if self.spy else d
+
+
+class Caller:
+    """Sends requests by the real library, at a steady rate."""
+
+    def __init__(self, cast, name, cell, services, rate, home=(), left=ms(5000), storm=0.0, wild=0.0):
+        self.cast, self.world, self.name, self.cell = cast, cast.world, name, cell
+        self.services, self.rate, self.left = services, rate, left
+        # storm: how often it repeats at once and often, past what the library would do.
+        self.storm = storm
+        # wild: how often a copy of the same attempt goes to every proxy it knows.
+        self.wild = wild
+        self.rng = random.Random(f'{self.world.seed}/{name}')
+        dirs = [d.place.http for d in self.world.of('dir') if d.place.cell == cell]
+        rest = [d.place.http for d in self.world.of('dir') if d.place.cell != cell]
+        self.rng.shuffle(rest)
+        self.lib = requester.Requester(self.world, dirs + rest[:3], cell, home, fetcher=FetchFor(cast, name, self.spy),
+                                       clock=self.world.seconds, rng=self.rng)
+        self.on = False
+
+    def spy(self, addr, headers, res):
+        if 'zt-id' in headers:
+            self.cast.note_attempt(self.name, addr, headers, res)
+
+    def start(self):
+        self.on = True
+        self.world.after(ms(self.rng.uniform(0, 1000 / self.rate)), self.tick)
+
+    def stop(self):
+        self.on = False
+
+    def tick(self):
+        if not self.on:
+            return
+        self.world.after(ms(self.rng.expovariate(self.rate / 1000)), self.tick)
+        self.one()
+
+    def one(self, service=None, labels=None):
+        service = service or self.rng.choice(self.services)
+        began = self.world.now
+        d = self.lib.send(service, '/work', body=b'{}', labels=labels, left=self.left)
+
+        def done(reply):
+            self.cast.notes.replies.append({
+                't0': began, 't': self.world.now, 'id': reply.id, 'service': service, 'outcome': reply.outcome,
+                'status': reply.status, 'body': reply.body, 'attempts': reply.attempts, 'fault': reply.fault,
+                'home': tuple(self.lib.home), 'who': self.name})
+            if self.rng.random() < self.storm and reply.id:
+                self.world.after(ms(self.rng.uniform(0, 50)), self.again, reply.id, service, reply.attempts + 1, 6)
+            return reply
+        return d.addCallback(done)
+
+    def again(self, rid, service, attempt, left):
+        """Repeat by hand, at once and often, through any proxy."""
+        proxies = [p for p in self.world.of('prox')]
+        to = self.rng.choice(proxies).place.http
+        headers = {'zt-id': rid, 'zt-attempt': str(attempt), 'zt-left-ms': '2000'}
+        if self.lib.home:
+            headers['zt-home'] = ','.join(self.lib.home)
+        d = self.world.fetch(self.name, to, 'POST', f'/r/{service}/work', headers, b'{}', ms(2000))
+        d.addCallback(lambda res: self.spy(to, headers, res))
+        if left > 1:
+            self.world.after(ms(self.rng.uniform(1, 60)), self.again, rid, service, attempt + 1, left - 1)
+
+
+class Operator:
+    """Reads, changes and applies, as ztctl does."""
+
+    def __init__(self, cast, name='op'):
+        self.cast, self.world, self.name = cast, cast.world, name
+
+    def ask(self, method, path, body, cb, wait=ms(9000), to=None):
+        nodes = [n for n in self.world.of('dir') + self.world.of('core') if n.up and n.machine.master]
+        to = to or self.world.rng.choice(nodes or self.world.of('dir'))
+        d = self.world.fetch(self.name, to.place.http, method, path, {}, json.dumps(body).encode() if body else b'',
+                             wait)
+
+        def told(res):
+            try:
+                doc = json.loads(res.body) if res.body else {}
+            except ValueError:
+                doc = {}
+            cb(res.status, doc)
+        d.addCallback(told)
+
+    def read(self, cb=lambda doc: None):
+        began = self.world.now
+
+        def told(status, doc):
+            if status == 200:
+                self.cast.notes.reads.append((began, self.world.now, doc['generation'], doc['config']))
+            cb(doc if status == 200 else None)
+        self.ask('GET', '/v1/config', None, told, ms(4000))
+
+    def apply(self, config, base, cb=lambda status, doc: None, wait=False):
+        began = self.world.now
+
+        def told(status, doc):
+            self.cast.notes.applies.append({'t0': began, 't': self.world.now, 'status': status, 'base': base,
+                                            'generation': doc.get('generation'), 'config': config})
+            cb(status, doc)
+        self.ask('PUT', '/v1/config', {'config': config, 'base': base, 'wait': wait}, told)
+
+    def change(self, fn, cb=lambda status, doc: None, tries=20, wait=False):
+        """Read, change, apply; on a conflict or a fault, all over."""
+        def read(doc):
+            if doc is None:
+                again(0, {})
+                return
+            config = copy.deepcopy(doc['config'])
+            fn(config)
+            self.apply(config, doc['generation'], lambda s, d: cb(s, d) if s == 200 else again(s, d), wait)
+
+        def again(status, doc):
+            if tries > 1 and status != 400:
+                self.world.after(ms(200), self.change, fn, cb, tries - 1, wait)
+            else:
+                cb(status, doc)
+        self.read(read)
+
+    def evacuate(self, cell, yes=True):
+        asked = self.world.now
+        self.change(lambda c: c['cells'].setdefault(cell, {}).update(evacuated=yes),
+                    lambda s, d: s == 200 and self.cast.notes.evacuations.append((asked, self.world.now, cell, yes)))
+
+
+class Cast:
+    """A deployment's processes and users in one world."""
+
+    def __init__(self, world, shape, slots=8):
+        self.world, self.shape = world, shape
+        self.notes = Notes()
+        self.cells = fleet.cells_of(shape)
+        self.ends = []
+        self.callers = []
+        self.attempts = []
+        for role, n in (('core', shape['cores']), ('dir', shape['dirs']), ('prox', shape['proxies'])):
+            for i in range(n):
+                world.add(f'{role}{i}', role, self.cells[i % len(self.cells)])
+        self.seeds = [world.nodes[n].place.addr for n in ('core0', 'core1', 'dir0')]
+        for n in world.nodes.values():
+            n.place.seeds = list(self.seeds)
+        k = 0
+        for service, n in shape['services'].items():
+            for i in range(n):
+                k += 1
+                self.ends.append(End(self, f'end{k}', f'10.9.{k >> 8}.{k & 255}:80', service,
+                                     self.cells[i % len(self.cells)], slots))
+        self.op = Operator(self)
+
+    def note_attempt(self, who, proxy, headers, res):
+        self.attempts.append({'t': self.world.now, 'id': headers['zt-id'], 'attempt': int(headers['zt-attempt']),
+                              'proxy': proxy, 'outcome': res.headers.get('zt-outcome'), 'status': res.status,
+                              'whole': not res.fault, 'home': headers.get('zt-home', '')})
+
+    def start(self, config=None):
+        """Everything up, a master, the configuration in force, endpoints known."""
+        w = self.world
+        for n in w.nodes.values():
+            # Why not all at one instant: machines never are.
+            w.after(ms(w.rng.uniform(0, 300)), n.start)
+        if not w.run(ms(60000), lambda: w.master() is not None):
+            raise AssertionError(f'no master: seed {w.seed}')
+        done = []
+        self.op.change(lambda c: c.update(config or fleet.document(self.shape)), lambda s, d: done.append(s), tries=100)
+        w.run(ms(30000), lambda: bool(done))
+        if done != [200]:
+            raise AssertionError(f'configuration not accepted: {done}, seed {w.seed}')
+        for e in self.ends:
+            w.after(ms(w.rng.uniform(0, 1000)), e.start)
+        w.run(ms(2500))
+
+    def call_all(self, rate=None, per_cell=1, **more):
+        services = sorted(self.shape['services'])
+        rate = rate or self.shape['rate']
+        n = len(self.cells) * per_cell
+        for i in range(n):
+            c = Caller(self, f'caller{len(self.callers)}', self.cells[i % len(self.cells)], services, rate / n, **more)
+            self.callers.append(c)
+            c.start()
+
+    def quiet(self, length=ms(8000)):
+        for c in self.callers:
+            c.stop()
+        self.world.run(length)
+
+    def tally(self):
+        out = {}
+        for r in self.notes.replies:
+            out[r['outcome']] = out.get(r['outcome'], 0) + 1
+        return out
--- /dev/null
+++ b/zinctrail/sim/world.py
@@ -0,0 +1,385 @@
+"""The deterministic world: virtual time, network, disks and processes, all from one seed.
+
+It hosts the same machines as edge.host does. Nothing here knows what a
+right outcome is; sim.checks judges from what callers, endpoints and
+operators saw.
+"""
+
+import datetime
+import heapq
+import json
+import random
+
+import twisted.internet.defer as defer
+
+import zinctrail.agree.partner as partner
+import zinctrail.bounds as bounds
+import zinctrail.ctl.core as core
+import zinctrail.data.proxy as proxy
+import zinctrail.dir.daemon as daemon
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+ms = seam.ms
+# Why: here a handler that breaks is our own bug and must not pass for a bad frame.
+partner.Partner.strict = True
+
+
+class Timer:
+    """What callLater gives back."""
+
+    def __init__(self, fn):
+        self.fn = fn
+
+    def active(self):
+        return self.fn is not None
+
+    def cancel(self):
+        self.fn = None
+
+    def __call__(self):
+        fn, self.fn = self.fn, None
+        if fn:
+            fn()
+
+
+class Disk:
+    """One machine's disk: what is synced survives, what is not may not."""
+
+    def __init__(self):
+        self.files = {}
+        self.synced = {}
+        self.full = False
+        self.stall = seam.ZERO
+        # Why switchable: tests show that losing unsynced writes is noticed.
+        self.syncs = True
+        self.writes = 0
+
+    def write(self, name, text, gone):
+        if self.full:
+            raise faults.DiskFault(f'{name}: no space left')
+        self.writes += 1
+        self.files[name] = text
+        for g in gone:
+            self.files.pop(g, None)
+        if self.syncs:
+            self.synced = dict(self.files)
+
+    def power_lost(self):
+        self.files = dict(self.synced)
+
+
+class Node:
+    """One of our processes."""
+
+    def __init__(self, world, name, role, place):
+        self.world, self.name, self.role, self.place = world, name, role, place
+        self.disk = Disk()
+        self.machine = None
+        self.up = False
+        self.life = 0
+        self.paused = None
+        self.held = []
+        self.wake_at = None
+        self.rids = {}
+        self.logs = []
+        self.exited = False
+
+    def start(self):
+        w = self.world
+        self.life += 1
+        self.up, self.paused, self.held, self.wake_at, self.exited = True, None, [], None, False
+        rng = random.Random(f'{w.seed}/{self.name}/{self.life}')
+        if self.role == 'core':
+            try:
+                self.machine = core.Core(self.place, w.bounds, rng, dict(self.disk.files))
+            except faults.DamageFault as e:
+                w.log(f'{self.name}: damaged, set aside: {e}')
+                self.disk.files = {}
+                self.machine = core.Core(self.place, w.bounds, rng, {})
+        else:
+            self.machine = MACHINES[self.role](self.place, w.bounds, rng)
+        self.feed('start')
+
+    def kill(self, power=False):
+        """Gone at once; with the power, what was not synced goes too."""
+        if not self.up:
+            return
+        self.up = False
+        self.life += 1
+        if power:
+            self.disk.power_lost()
+        for cb in self.rids.values():
+            cb(seam.Fetched(fault='connection lost'))
+        self.rids = {}
+        # Why told to all: a dead process's kernel closes its connections.
+        for other in self.world.nodes.values():
+            if other.up and other is not self and not self.world.is_cut(self.name, other.name):
+                self.world.after(self.world.delay(), other.feed_life, other.life, 'lost', self.place.addr)
+
+    def pause(self, length):
+        self.paused = self.world.now + length
+        self.world.at(self.paused, self.resume)
+
+    def resume(self):
+        if self.paused is not None and self.world.now >= self.paused:
+            self.paused = None
+            held, self.held = self.held, []
+            for kind, args in held:
+                self.feed(kind, *args)
+            self.set_alarm()
+
+    def feed_life(self, life, kind, *args):
+        if life == self.life:
+            self.feed(kind, *args)
+
+    def feed(self, kind, *args):
+        if not self.up:
+            return
+        if self.paused is not None:
+            self.held.append((kind, args))
+            return
+        w = self.world
+        w.inputs += 1
+        for i, e in enumerate(self.machine.feed(kind, w.now, *args)):
+            if isinstance(e, seam.Write):
+                try:
+                    self.disk.write(e.name, e.text, e.gone)
+                except faults.DiskFault as fault:
+                    w.after(seam.ZERO, self.feed_life, self.life, 'disk_fault', str(fault))
+                    break
+                if self.disk.stall:
+                    # Why the whole process: one loop on one thread waits for its disk.
+                    self.pause(self.disk.stall)
+                if w.die_in_write and w.die_in_write(self, e):
+                    self.kill(power=True)
+                    return
+            else:
+                EFFECTS[type(e)](self, e)
+        self.set_alarm()
+
+    def call(self, call, back):
+        self.world.no += 1
+        rid = self.world.no
+        self.rids[rid] = back
+        self.feed('http', rid, call)
+
+    def set_alarm(self):
+        if not self.up or self.paused is not None:
+            return
+        due = self.machine.due()
+        if due is not None and (self.wake_at is None or due < self.wake_at):
+            self.wake_at = max(due, self.world.now)
+            self.world.at(self.wake_at, self.wake, self.life, self.wake_at)
+
+    def wake(self, life, at):
+        if life != self.life or self.wake_at != at:
+            return
+        self.wake_at = None
+        if self.paused is None:
+            self.feed('wake')
+
+    # -- effects ----------------------------------------------------------
+
+    def do_send(self, e):
+        self.world.carry(self, e.addr, e.msg)
+
+    def do_outcome(self, e):
+        cb = self.rids.pop(e.rid, None)
+        if cb:
+            cb(seam.Fetched(e.status, dict(e.headers), e.body))
+
+    def do_fetch(self, e):
+        d = self.world.fetch(self.name, e.addr, e.method, e.path, e.headers, e.body, e.wait)
+        life = self.life
+        d.addCallback(lambda res: self.feed_life(life, 'fetched', e.fid, res))
+
+    def do_log(self, e):
+        self.logs.append((self.world.now, e.text))
+        self.world.log(f'{self.name}: {e.text}')
+
+    def do_done(self, e):
+        self.world.after(seam.ZERO, self.feed_life, self.life, 'done', e.name)
+
+    def do_exit(self, e):
+        self.exited = True
+        self.kill()
+
+
+EFFECTS = {
+    seam.Send: Node.do_send,
+    seam.Outcome: Node.do_outcome,
+    seam.Fetch: Node.do_fetch,
+    seam.Close: lambda node, e: None,
+    seam.Log: Node.do_log,
+    seam.Done: Node.do_done,
+    seam.Exit: Node.do_exit,
+}
+
+MACHINES = {'dir': daemon.Dir, 'prox': proxy.Prox}
+
+
+class World:
+
+    def __init__(self, seed, bound=None, trace=False):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.bounds = bound or bounds.Bounds()
+        self.now = seam.ZERO
+        self.heap = []
+        self.no = 0
+        self.nodes = {}
+        self.by_addr = {}
+        self.by_http = {}
+        self.ends = {}
+        self.cuts = set()
+        self.loss = 0.0
+        self.copies = 0.0
+        self.slow = seam.ZERO
+        self.last = {}
+        self.trace = trace
+        self.lines = []
+        self.inputs = 0
+        self.frames = 0
+        self.bytes = {}
+        self.die_in_write = None
+        self.on_deliver = None
+
+    # -- time -------------------------------------------------------------
+
+    def at(self, when, fn, *args):
+        self.no += 1
+        heapq.heappush(self.heap, (when, self.no, fn, args))
+
+    def after(self, delay, fn, *args):
+        self.at(self.now + delay, fn, *args)
+
+    def run(self, length=None, until=None):
+        """Run for `length`, or until until() is true; True if it was."""
+        end = self.now + (length or ms(60000))
+        while self.heap and self.heap[0][0] <= end:
+            if until is not None and until():
+                return True
+            self.now, _, fn, args = heapq.heappop(self.heap)
+            fn(*args)
+        if until is not None and until():
+            return True
+        self.now = max(self.now, end)
+        return False
+
+    # As twisted's clock, so that the real requester runs here.
+    def callLater(self, delay, fn, *args):
+        t = Timer(lambda: fn(*args))
+        self.after(datetime.timedelta(seconds=delay), t)
+        return t
+
+    def seconds(self):
+        return self.now.total_seconds()
+
+    def log(self, text):
+        if self.trace:
+            print(f'{self.now.total_seconds():9.3f} {text}')
+        self.lines.append((self.now, text))
+        if len(self.lines) > 20000:
+            del self.lines[:10000]
+
+    # -- network ----------------------------------------------------------
+
+    def delay(self):
+        return ms(0.2 + self.rng.expovariate(1 / 0.8)) + self.slow
+
+    def cut(self, a, b, both=True):
+        self.cuts.add((a, b))
+        if both:
+            self.cuts.add((b, a))
+
+    def isolate(self, name):
+        for other in [*self.nodes, *self.ends]:
+            if other != name:
+                self.cut(name, other)
+
+    def heal(self, *names):
+        self.cuts = {c for c in self.cuts if names and not (c[0] in names or c[1] in names)}
+
+    def is_cut(self, a, b):
+        return (a, b) in self.cuts
+
+    def carry(self, src, addr, msg):
+        """A frame between two of our processes; order is kept, as TCP does."""
+        text = json.dumps(msg)
+        self.frames += 1
+        self.bytes[msg['t']] = self.bytes.get(msg['t'], 0) + len(text)
+        dst = self.by_addr.get(addr)
+        if dst is None or not dst.up:
+            if dst is None or not self.is_cut(src.name, dst.name):
+                self.after(self.delay(), src.feed_life, src.life, 'lost', addr)
+            return
+        if self.is_cut(src.name, dst.name) or self.rng.random() < self.loss:
+            return
+        for _ in range(2 if self.rng.random() < self.copies else 1):
+            when = max(self.now + self.delay(), self.last.get((src.name, dst.name), seam.ZERO))
+            self.last[src.name, dst.name] = when
+            self.at(when, self.deliver, src, dst, dst.life, text)
+
+    def deliver(self, src, dst, life, text):
+        if life == dst.life and not self.is_cut(src.name, dst.name):
+            if self.on_deliver:
+                self.on_deliver(src, dst, text)
+            dst.feed('recv', json.loads(text))
+
+    def fetch(self, src, addr, method, path, headers, body, wait):
+        """An HTTP call from anybody to a process or an endpoint: Deferred seam.Fetched."""
+        d = defer.Deferred()
+
+        def done(res):
+            if not d.called:
+                d.callback(res)
+        there = self.by_http.get(addr) or self.ends.get(addr)
+        name = there.name if there else addr
+        if there is None or not there.up:
+            if self.is_cut(src, name):
+                self.after(min(wait, ms(1000)), done, seam.Fetched(sent=False, fault='connect timed out'))
+            else:
+                self.after(self.delay(), done, seam.Fetched(sent=False, fault='refused'))
+            return d
+        self.after(wait, done, seam.Fetched(fault='late'))
+        if self.is_cut(src, name):
+            self.after(min(wait, ms(1000)), done, seam.Fetched(sent=False, fault='connect timed out'))
+            return d
+
+        def back(res):
+            if not self.is_cut(name, src):
+                self.after(self.delay(), done, res)
+        call = seam.Call(method, path, {k.lower(): v for k, v in headers.items()}, body)
+        self.after(self.delay(), there_call, there, there.life, call, back)
+        return d
+
+    # -- building ---------------------------------------------------------
+
+    def add(self, name, role, cell, seeds=(), addr=None):
+        n = len(self.nodes) + 1
+        addr = addr or f'10.0.{n >> 8}.{n & 255}:1000'
+        http = addr.rpartition(':')[0] + ':80'
+        node = Node(self, name, role, partner.Place(addr, http, cell, list(seeds)))
+        self.nodes[name] = node
+        self.by_addr[addr] = node
+        self.by_http[http] = node
+        return node
+
+    def of(self, role):
+        return [n for n in self.nodes.values() if n.role == role]
+
+    def masters(self):
+        return [n for n in self.of('core') if n.up and n.machine.mode == 'leader']
+
+    def master(self):
+        """The master that a quorum still answers, if there is one."""
+        good = [n for n in self.masters() if n.machine.rep.committed[0] == n.machine.term]
+        return max(good, key=lambda n: n.machine.term, default=None)
+
+
+def there_call(there, life, call, back):
+    if there.life != life or not there.up:
+        back(seam.Fetched(fault='connection lost'))
+        return
+    there.call(call, back)
