--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -244,6 +244,8 @@
             self.tell(env['a'], 'pub_re', term=self.term, at=env['at'], ok=False)
             return
         at, base, full = tup(env['at']), tup(env.get('base')), env.get('full')
+        if self.rep.accepted in [tup(v) for v in env.get('via', ())]:
+            base = self.rep.accepted
         if self.rep.accepted == at:
             ok = True
         elif self.rep.fits(at, base, full is not None):
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -511,20 +511,27 @@
             return self.rep.accepted
         return tup(self.rep.latest('meta', 'routes'))
 
-    def offer(self, p, whole=False):
+    def since(self, base, core):
+        """(rows, generations between) from `base` to the latest, or None if that is too far back."""
+        parts, via = [], []
+        for b, b_routes, at, rows, is_routes in reversed(self.changes):
+            if core or is_routes:
+                parts.append(rows if core else replica.routes_of(rows))
+                via.append(at)
+                if base == (b if core else b_routes):
+                    return [r for part in reversed(parts) for r in part], via[1:]
+        return None
+
+    def offer(self, p):
         """Send a member what it lacks: the changes since what it has, or everything."""
         at = self.latest_for(p)
         core = p.role == 'core'
-        rows, base = None, p.accepted
-        if base is not None and not whole:
-            for b, b_routes, a, r, is_routes in self.changes:
-                if rows is None and base == (b if core else b_routes) and (core or is_routes):
-                    rows = []
-                if rows is not None:
-                    rows.extend(r if core else replica.routes_of(r))
+        found = self.since(p.accepted, core) if p.accepted else None
         p.offered = self.now
-        if rows is not None:
-            self.tell(p.addr, 'pub', term=self.term, at=at, base=base, rows=rows, http=self.place.http)
+        if found:
+            # Why what lies between is told: it may have taken that meanwhile, and rows are whole values.
+            self.tell(p.addr, 'pub', term=self.term, at=at, base=p.accepted, via=found[1], rows=found[0],
+                      http=self.place.http)
         else:
             self.counts['full'] += 1
             self.tell(p.addr, 'pub', term=self.term, at=at, full=self.rep.whole(routes=not core),
@@ -541,7 +548,7 @@
         p.accepted = tup(env['accepted'])
         if not env['ok']:
             if p.accepted < self.latest_for(p):
-                self.offer(p, whole=True)
+                self.offer(p)
             return
         f = self.flight
         if f and not f['done'] and at == f['at']:
@@ -663,7 +670,7 @@
         if self.now - p.offered < self.bounds.check / 2:
             return
         if p.accepted != self.latest_for(p):
-            self.offer(p, whole=p.accepted > self.latest_for(p))
+            self.offer(p)
         elif p.committed != p.accepted:
             self.tell_commit(p)
 
--- a/zinctrail/ctl/api.py
+++ b/zinctrail/ctl/api.py
@@ -102,6 +102,13 @@
     answer({'status': 200, 'state': m.status()})
 
 
+@page('GET', '/v1/epoch')
+def epoch(m, call, body, answer):
+    # Why from what we hold: an id of a slightly old epoch is as good.
+    now = m.rep.get('meta', 'epoch')
+    answer({'status': 200, 'epoch': now} if now else {'status': 503, 'fault': 'no epoch yet'})
+
+
 @page('GET', '/v1/status')
 def status(m, call, body, answer):
     m.ask('status', {}, answer)
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -65,7 +65,7 @@
         left = seam.to_ms(core.lock_until[name] - txn.now)
         raise faults.CallFault(409, 'held by another', holder=row['holder'], retry_ms=max(50, min(left, 1000)))
     if not row or row['holder'] != holder or core.lock_until.get(name, txn.now) <= txn.now:
-        row = {'holder': holder, 'fence': txn.gen, 'lease_ms': lease}
+        row = {'holder': holder, 'fence': next_rev(txn), 'lease_ms': lease}
         txn.put('locks', name, row)
     elif row['lease_ms'] != lease:
         row = dict(row, lease_ms=lease)
@@ -101,20 +101,30 @@
     return {'status': 200, 'number': n}
 
 
-def event(core, txn, key, val):
-    n = core.event_no = core.event_no + 1 if core.event_gen == txn.gen else 0
-    core.event_gen = txn.gen
+def head(txn):
+    return txn.get('numbers', '/rev') or 0
+
+
+def next_rev(txn):
+    # Why not the generation: one generation may hold many writes, and each must rise.
+    rev = head(txn) + 1
+    txn.put('numbers', '/rev', rev)
+    return rev
+
+
+def event(txn, key, val):
+    rev = next_rev(txn)
     # Why zeros in front: keys then sort as the events rose.
-    txn.put('events', f'{txn.gen:016d}.{n:06d}',
-            {'key': key, 'value': val, 'rev': txn.gen, 'epoch': txn.get('meta', 'epoch') or 0})
+    txn.put('events', f'{rev:016d}', {'key': key, 'value': val, 'rev': rev, 'epoch': txn.get('meta', 'epoch') or 0})
+    return rev
 
 
 @op('key.get')
 def key_get(core, txn, args):
     row = txn.get('keys', text(args, 'key'))
     if row is None:
-        raise faults.CallFault(404, 'no such key', rev=0, head=txn.gen - 1)
-    return {'status': 200, 'value': row['value'], 'rev': row['rev'], 'head': txn.gen - 1}
+        raise faults.CallFault(404, 'no such key', rev=0, head=head(txn))
+    return {'status': 200, 'value': row['value'], 'rev': row['rev'], 'head': head(txn)}
 
 
 def expect(txn, key, args):
@@ -131,9 +141,9 @@
     if not isinstance(val, str) or len(val) > 8192:
         raise faults.CallFault(400, 'value must be a text up to 8192')
     expect(txn, key, args)
-    txn.put('keys', key, {'value': val, 'rev': txn.gen})
-    event(core, txn, key, val)
-    return {'status': 200, 'rev': txn.gen}
+    rev = event(txn, key, val)
+    txn.put('keys', key, {'value': val, 'rev': rev})
+    return {'status': 200, 'rev': rev}
 
 
 @op('key.drop', acts=True)
@@ -142,8 +152,7 @@
     if expect(txn, key, args) is None:
         raise faults.CallFault(404, 'no such key', rev=0)
     txn.drop('keys', key)
-    event(core, txn, key, None)
-    return {'status': 200, 'rev': txn.gen}
+    return {'status': 200, 'rev': event(txn, key, None)}
 
 
 @op('key.watch')
@@ -154,11 +163,11 @@
     floor = (txn.get('numbers', '/floor') or 0)
     if since < floor:
         # Why told: a watcher that is skipped ahead would miss a change without knowing.
-        raise faults.CallFault(410, 'further back than the history kept', floor=floor, head=txn.gen - 1)
+        raise faults.CallFault(410, 'further back than the history kept', floor=floor, head=head(txn))
     out = [e for k, e in sorted(txn.items('events').items())
            if e['rev'] > since and e['key'].startswith(prefix)]
     return {'status': 200, 'events': [{'key': e['key'], 'value': e['value'], 'rev': e['rev']} for e in out],
-            'head': txn.gen - 1}
+            'head': head(txn)}
 
 
 def forget(txn, epoch, kept):
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -48,13 +48,11 @@
     def __init__(self, place, bounds, rng, files=None):
         super().__init__(place, bounds, rng, files)
         self.api_init()
-        self.since = seam.ZERO
+        self.mastered_at = seam.ZERO
         self.beats = {}
         self.goners = collections.OrderedDict()
         self.probing = {}
         self.lock_until = {}
-        self.event_gen = 0
-        self.event_no = 0
         self.waits = []
         self.watches = []
         self.epoch_at = None
@@ -65,7 +63,7 @@
 
     def mastered(self):
         # Why in full: how long anybody was silent under the old master is not known here.
-        self.since = self.now
+        self.mastered_at = self.now
         self.beats = {}
         self.goners.clear()
         self.probing = {}
@@ -156,7 +154,7 @@
     def tick_endpoints(self):
         limit = self.now - self.bounds.beat * self.bounds.beats_missed
         for inc, row in self.rep.get('endpoints').items():
-            if self.beats.get(inc, self.since) < limit:
+            if self.beats.get(inc, self.mastered_at) < limit:
                 self.probe_endpoint(inc)
         for inc in [i for i, p in self.probing.items() if self.now - p['at'] > self.bounds.prober * 2]:
             # Why another: the prober may be the one that is cut off.
@@ -328,7 +326,7 @@
 
     def serve_status(self, args, cb):
         s = self.status()
-        s['endpoints'] = {inc: dict(row, beat_ms=seam.to_ms(self.now - self.beats.get(inc, self.since)))
+        s['endpoints'] = {inc: dict(row, beat_ms=seam.to_ms(self.now - self.beats.get(inc, self.mastered_at)))
                           for inc, row in self.rep.get('endpoints').items()}
         s['duties'] = self.rep.get('duties')
         s['cells'] = self.rep.get('cells')
--- a/zinctrail/data/passes.py
+++ b/zinctrail/data/passes.py
@@ -54,6 +54,7 @@
     asked: bool = False
     parked: str = ''
     counted: bool = False
+    maybe: bool = False
 
 
 def a_pass(fn):
@@ -223,6 +224,8 @@
             res.fault = 'reply without an outcome'
     if res.fault:
         prox.counts['garbled'] += 1
+        # Why kept: whatever befalls a later try of ours, this one may have run.
+        rec.maybe = True
         lost = Drop(502, f'outcome unknown: {res.fault}', UNKNOWN)
         if rec.once:
             raise lost
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -101,6 +101,8 @@
     def drop(self, rec, e):
         if rec.rid not in self.table:
             return
+        if rec.maybe and e.outcome == passes.NOT_RUN:
+            e = passes.Drop(e.status, str(e), passes.UNKNOWN, **e.more)
         if rec.claimed and e.outcome == passes.NOT_RUN:
             # Why a commit first: the promise must hold against a late copy at any proxy.
             rec.parked = 'close'
--- a/zinctrail/prog/ztctl.py
+++ b/zinctrail/prog/ztctl.py
@@ -157,7 +157,7 @@
 
 def call_id():
     # Why read first: the id must tell an epoch that the core still keeps.
-    epoch = must(call('GET', '/v1/status'))['state']['epoch'] or 0
+    epoch = must(call('GET', '/v1/epoch'))['epoch']
     return f'{epoch}.{uuid.uuid4().hex}'
 
 
--- a/zinctrail/sim/cast.py
+++ b/zinctrail/sim/cast.py
@@ -7,7 +7,10 @@
 import json
 import random
 
+import twisted.internet.defer as defer
+
 import zinctrail.fleet as fleet
+import zinctrail.req.coord as coord
 import zinctrail.req.requester as requester
 import zinctrail.req.serving as serving
 import zinctrail.seam as seam
@@ -191,9 +194,6 @@
         self.on = True
         self.world.after(ms(self.rng.uniform(0, 1000 / self.rate)), self.tick)
 
-    def stop(self):
-        self.on = False
-
     def tick(self):
         if not self.on:
             return
@@ -289,6 +289,116 @@
                     lambda s, d: s == 200 and self.cast.notes.evacuations.append((asked, self.world.now, cell, yes)))
 
 
+class App:
+    """An application that leans on locks, numbers, keys and watches, by the real library."""
+
+    def __init__(self, cast, name, cell, every=ms(200), lease=ms(3000), margin=True):
+        self.cast, self.world, self.name, self.every = cast, cast.world, name, every
+        self.rng = random.Random(f'{self.world.seed}/{name}')
+        dirs = [d.place.http for d in self.world.of('dir')]
+        self.rng.shuffle(dirs)
+        self.lib = coord.Coord(self.world, dirs, FetchFor(cast, name), self.world.seconds, self.rng)
+        self.lease = lease
+        self.count = 0
+        self.faults = 0
+        self.on = False
+
+    def start(self):
+        self.on = True
+        for fn in (self.locking, self.numbering, self.writing, self.reading, self.watching):
+            fn().addErrback(lambda reason: reason.trap(GeneratorExit))
+
+    @defer.inlineCallbacks
+    def locking(self):
+        while self.on:
+            lock = self.lib.lock(f'lock{self.rng.randrange(2)}', self.name, self.lease)
+            try:
+                got = yield lock.take()
+                for _ in range(self.rng.randrange(4)):
+                    if got:
+                        yield self.lib.sleep(self.lease / 3)
+                        self.believe(lock)
+                        got = yield lock.take()
+                if got:
+                    self.believe(lock)
+                    if self.rng.random() < 0.7:
+                        now, row = self.world.now, self.cast.notes.locks[-1]
+                        if row['holder'] == self.name:
+                            row['until'] = min(row['until'], now)
+                        yield lock.free()
+                    else:
+                        yield self.lib.sleep(self.lease)
+            except coord.CoordFault:
+                self.faults += 1
+            yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
+
+    def believe(self, lock):
+        if lock.held():
+            self.cast.notes.locks.append({'name': lock.name, 'holder': self.name, 'fence': lock.fence,
+                                          't0': self.world.now, 'until': lock.until})
+
+    @defer.inlineCallbacks
+    def numbering(self):
+        while self.on:
+            t0 = self.world.now
+            try:
+                n = yield self.lib.number('orders')
+                self.cast.notes.numbers.append((t0, self.world.now, 'orders', n))
+            except coord.CoordFault:
+                self.faults += 1
+            yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
+
+    @defer.inlineCallbacks
+    def writing(self):
+        while self.on:
+            t0, key = self.world.now, f'k/{self.rng.randrange(3)}'
+            self.count += 1
+            value = f'{self.name}.{self.count}'
+            try:
+                rev = yield self.lib.set(key, value)
+                self.cast.notes.keys.append({'op': 'put', 'key': key, 't0': t0, 't': self.world.now, 'rev': rev,
+                                             'value': value})
+            except coord.CoordFault:
+                self.faults += 1
+            yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
+
+    @defer.inlineCallbacks
+    def reading(self):
+        while self.on:
+            t0, key = self.world.now, f'k/{self.rng.randrange(3)}'
+            try:
+                doc = yield self.lib.get(key)
+                self.cast.notes.keys.append({'op': 'get', 'key': key, 't0': t0, 't': self.world.now,
+                                             'rev': doc['rev'], 'value': doc['value']})
+            except coord.CoordFault:
+                self.faults += 1
+            yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
+
+    @defer.inlineCallbacks
+    def watching(self):
+        since, since_t = None, None
+        while self.on:
+            t0 = self.world.now
+            try:
+                if since is None:
+                    doc = yield self.lib.get('k/0')
+                    since, since_t = doc['head'], t0
+                    continue
+                # Why sometimes late: history must reach back for 20 s.
+                yield self.lib.sleep(ms(self.rng.choice((0, 0, 500, 18000))))
+                doc = yield self.lib.watch('k/', since, ms(2000))
+                self.cast.notes.watches.append({'prefix': 'k/', 'since': since, 'since_t': since_t, 't0': t0,
+                                                't': self.world.now, 'head': doc['head'], 'events': doc['events']})
+                since, since_t = doc['head'], self.world.now
+            except coord.CoordFault as e:
+                self.faults += 1
+                if e.status == 410:
+                    self.cast.notes.watches.append({'prefix': 'k/', 'since': since, 'since_t': since_t, 't0': t0,
+                                                    't': self.world.now, 'gone': True})
+                    since = None
+                yield self.lib.sleep(ms(200))
+
+
 class Cast:
     """A deployment's processes and users in one world."""
 
@@ -298,6 +408,7 @@
         self.cells = fleet.cells_of(shape)
         self.ends = []
         self.callers = []
+        self.apps = []
         self.attempts = []
         for role, n in (('core', shape['cores']), ('dir', shape['dirs']), ('prox', shape['proxies'])):
             for i in range(n):
@@ -344,9 +455,15 @@
             self.callers.append(c)
             c.start()
 
+    def apps_all(self, n=3, **more):
+        for i in range(n):
+            a = App(self, f'app{i}', self.cells[i % len(self.cells)], **more)
+            self.apps.append(a)
+            a.start()
+
     def quiet(self, length=ms(8000)):
-        for c in self.callers:
-            c.stop()
+        for c in self.callers + self.apps:
+            c.on = False
         self.world.run(length)
 
     def tally(self):
--- /dev/null
+++ b/zinctrail/sim/checks.py
@@ -0,0 +1,303 @@
+"""One checker a line of the brief's "What must never happen".
+
+Each reads only the notes of callers, endpoints, operators and applications.
+A checker returns a list of texts: what happened that must not. ALL is the registry.
+"""
+
+import collections
+import json
+
+import zinctrail.agree.partner as partner
+import zinctrail.ctl.config as config
+import zinctrail.seam as seam
+
+ms = seam.ms
+ALL = {}
+
+
+def check(name):
+    def put(fn):
+        ALL[name] = fn
+        return fn
+    return put
+
+
+def run(cast, only=None):
+    return [f'{name}: {text}' for name, fn in ALL.items() if only in (None, name) for text in fn(cast)]
+
+
+def sec(t):
+    return f'{t.total_seconds():.3f}s'
+
+
+@check('run-twice')
+def run_twice(cast):
+    runs = collections.Counter(r['id'] for r in cast.notes.runs if r['service'] in cast.shape['once'])
+    return [f'{rid} ran {n} times' for rid, n in runs.items() if n > 1]
+
+
+@check('false-not-run')
+def false_not_run(cast):
+    out = []
+    ran = collections.defaultdict(set)
+    for r in cast.notes.runs:
+        ran[r['id']].add(r['attempt'])
+    for a in cast.attempts:
+        # Why attempts up to this one: a later attempt is a new asking, whose run breaks no promise.
+        if a['outcome'] == 'not-run' and a['whole'] and any(n <= a['attempt'] for n in ran[a['id']]):
+            out.append(f'{a["id"]} attempt {a["attempt"]} told not-run at {sec(a["t"])}, ran as {sorted(ran[a["id"]])}')
+    for r in cast.notes.replies:
+        if r['outcome'] == 'not-run' and ran[r['id']]:
+            out.append(f'{r["id"]} ended as not-run, ran as {sorted(ran[r["id"]])}')
+    return out
+
+
+@check('wrong-outcome')
+def wrong_outcome(cast):
+    out = []
+    by = {(r['id'], r['inc']) for r in cast.notes.runs}
+    for r in cast.notes.replies:
+        if r['outcome'] != 'ran' or r['status'] != 200:
+            continue
+        try:
+            body = json.loads(r['body'])
+        except ValueError:
+            out.append(f'{r["id"]}: altered or cut reply passed as whole')
+            continue
+        if body.get('id') != r['id'] or body.get('service') != r['service'] or (r['id'], body.get('by')) not in by:
+            out.append(f'{r["id"]}: got the reply of {body}')
+    return out
+
+
+@check('drained-reached')
+def drained_reached(cast):
+    out = []
+    told = {}
+    for t, _, inc, _ in cast.notes.states:
+        told.setdefault(inc, t)
+    for r in cast.notes.runs:
+        if r['inc'] in told and r['t'] > told[r['inc']] + ms(3000):
+            out.append(f'{r["id"]} reached {r["inc"]} {sec(r["t"] - told[r["inc"]])} after it drained')
+        if r['meant'] != r['inc']:
+            out.append(f'{r["id"]} meant for {r["meant"]} ran at the newcomer {r["inc"]}')
+    return out
+
+
+def allowed(doc, row):
+    """Whether this configuration lets a run of this service be at this endpoint."""
+    labels = {**(doc['cells'].get(row['cell'], {}).get('labels') or {}), **row['labels'],
+              **doc['labels'].get(row['addr'], {}), 'service': row['service'], 'cell': row['cell'],
+              'region': partner.place_of(doc['cells'], row['cell'])}
+    rules = sorted(doc['rules'].items(), key=lambda kv: (kv[1].get('order', 1000), kv[0]))
+    for _, rule in rules:
+        if config.matches(rule.get('match', {}), {'service': row['service']}):
+            pool = doc['pools'][rule['pool']]
+            return config.matches(dict(pool.get('selector', {}), service=pool['service']), labels)
+    return False
+
+
+@check('config-in-force')
+def config_in_force(cast):
+    """Late, sliding back: a run must fit a configuration that was in force then."""
+    out = []
+    good = sorted((a for a in cast.notes.applies if a['status'] == 200), key=lambda a: a['generation'])
+    for r in cast.notes.runs:
+        if r.get('labelled'):
+            continue
+        fits = False
+        for i, a in enumerate(good):
+            over = good[i + 1]['t'] + ms(3000) if i + 1 < len(good) else None
+            if a['t0'] <= r['t'] and (over is None or r['t'] <= over) and allowed(a['config'], r):
+                fits = True
+                break
+        if not fits and not _unsure(cast, r):
+            out.append(f'{r["id"]} at {sec(r["t"])} ran at {r["addr"]}, which no configuration in force allows')
+    return out
+
+
+def _unsure(cast, r):
+    # Why let pass: an apply whose reply was lost may be in force; read-back is what judges it.
+    return any(a['status'] not in (200, 400, 409) and a['t0'] <= r['t'] and allowed(a['config'], r)
+               for a in cast.notes.applies)
+
+
+@check('config-kept')
+def config_kept(cast):
+    """Read-back: newest acknowledged or newer, whole, never older."""
+    out = []
+    good = {a['generation']: a for a in cast.notes.applies if a['status'] == 200}
+    bad = [a for a in cast.notes.applies if a['status'] == 400]
+    top = 0
+    for began, ended, gen, doc in sorted(cast.notes.reads, key=lambda r: r[1]):
+        floor = max([g for g, a in good.items() if a['t'] <= began], default=0)
+        if gen < floor:
+            out.append(f'read at {sec(began)} gave generation {gen}, {floor} was acknowledged before')
+        if gen in good and doc != _filled(good[gen]['config']):
+            out.append(f'read of generation {gen} is not what was accepted')
+        if any(doc == _filled(b['config']) for b in bad if isinstance(b['config'], dict)):
+            out.append(f'read at {sec(began)} gave a refused configuration')
+    ends = sorted(cast.notes.reads, key=lambda r: r[0])
+    for i, (began, _, gen, _) in enumerate(ends):
+        top = max([g for b, e, g, _ in ends[:i] if e <= began], default=0)
+        if gen < top:
+            out.append(f'read at {sec(began)} slid back from {top} to {gen}')
+    return out
+
+
+def _filled(doc):
+    return {part: doc.get(part, {}) for part in config.PARTS} if isinstance(doc, dict) else doc
+
+
+@check('conflicts')
+def conflicts(cast):
+    """Two changes on one base: at most one may win."""
+    bases = collections.Counter(a['base'] for a in cast.notes.applies if a['status'] == 200)
+    return [f'{n} changes based on {b} were accepted' for b, n in bases.items() if n > 1]
+
+
+@check('evacuated-reached')
+def evacuated_reached(cast):
+    out = []
+    cells = {n.place.http: n.place.cell for n in cast.world.of('prox')}
+    proxied = {(a['id'], a['attempt']): cells.get(a['proxy']) for a in cast.attempts}
+    for i, (asked, _, cell, yes) in enumerate(cast.notes.evacuations):
+        if not yes:
+            continue
+        back = [a for a, _, c, y in cast.notes.evacuations[i + 1:] if c == cell and not y]
+        until = min(back, default=None)
+        for r in cast.notes.runs:
+            at = r['cell'] == cell or proxied.get((r['id'], r['attempt'])) == cell
+            if at and r['t'] > asked + ms(5000) and (until is None or r['t'] < until):
+                out.append(f'{r["id"]} reached {cell} {sec(r["t"] - asked)} after its evacuation was asked')
+    return out
+
+
+@check('cold-overrun')
+def cold_overrun(cast):
+    # Why the step: one request more than the bound can't be told from rounding at small sizes.
+    return [f'{r["inc"]} ran {r["running"]} at once, bears {r["bears"]:.2f}'
+            for r in cast.notes.runs if r['running'] > max(1, 1.5 * r['bears'])]
+
+
+@check('repeats')
+def repeats(cast):
+    out = []
+    seen, by = set(), collections.defaultdict(list)
+    for t, rid, attempt, service, _, _ in sorted(cast.notes.sends):
+        by[service].append((t, attempt > 1 or rid in seen))
+        seen.add(rid)
+    allowance = cast.world.bounds.repeat_allowance
+    for service, rows in by.items():
+        lo = again = 0
+        for hi, (t, rep) in enumerate(rows):
+            again += rep
+            while rows[lo][0] <= t - ms(10000):
+                again -= rows[lo][1]
+                lo += 1
+            total = hi - lo + 1
+            if again > 0.2 * total + allowance:
+                out.append(f'{service}: {again} repeats of {total} in the 10 s before {sec(t)}')
+                break
+    return out
+
+
+@check('home-regions')
+def home_regions(cast):
+    out = []
+    cells = {n.place.http: n.place.cell for n in cast.world.of('prox')}
+    for r in cast.notes.runs:
+        home = [h for h in r['home'].split(',') if h]
+        if home and r['cell'].split('/')[0] not in home:
+            out.append(f'{r["id"]} of {home} ran in {r["cell"]}')
+    for a in cast.attempts:
+        home = [h for h in a['home'].split(',') if h]
+        if home and a['outcome'] == 'ran' and cells[a['proxy']].split('/')[0] not in home:
+            out.append(f'{a["id"]} of {home} went through {cells[a["proxy"]]}')
+    return out
+
+
+@check('locks')
+def locks(cast):
+    """notes.locks: {name, holder, fence, t0, until}: a holder believes from t0 to until."""
+    out = []
+    by = collections.defaultdict(list)
+    for row in cast.notes.locks:
+        by[row['name']].append(row)
+    for name, rows in by.items():
+        rows.sort(key=lambda r: r['t0'])
+        for a, b in zip(rows, rows[1:]):
+            if a['holder'] != b['holder'] and b['t0'] < a['until']:
+                out.append(f'{name}: {a["holder"]} until {sec(a["until"])}, {b["holder"]} from {sec(b["t0"])}')
+            if b['fence'] <= a['fence'] and a['holder'] != b['holder']:
+                out.append(f'{name}: fence {b["fence"]} after {a["fence"]}')
+    return out
+
+
+@check('numbers')
+def numbers(cast):
+    """notes.numbers: (t0, t, name, number)."""
+    out = []
+    by = collections.defaultdict(list)
+    for t0, t, name, n in cast.notes.numbers:
+        by[name].append((t0, t, n))
+    for name, rows in by.items():
+        if len({n for _, _, n in rows}) != len(rows):
+            out.append(f'{name}: a number was given twice')
+        top = 0
+        done = sorted(rows, key=lambda r: r[1])
+        for t0, t, n in sorted(rows):
+            top = max([m for _, e, m in done if e <= t0], default=0)
+            if n <= top:
+                out.append(f'{name}: {n} after {top}')
+    return out
+
+
+@check('keys')
+def keys(cast):
+    """notes.keys: {op, key, t0, t, rev, value}: reads never older than acknowledged writes."""
+    out = []
+    writes = [k for k in cast.notes.keys if k['op'] == 'put']
+    for r in cast.notes.keys:
+        floor = max((w['rev'] for w in writes if w['key'] == r['key'] and w['t'] <= r['t0'] and w is not r), default=0)
+        if r['op'] == 'get' and r['rev'] < floor:
+            out.append(f'{r["key"]} read at revision {r["rev"]}, {floor} was acknowledged before')
+        if r['op'] == 'put' and r['rev'] <= floor:
+            out.append(f'{r["key"]} written at revision {r["rev"]}, after {floor}')
+        if r['op'] == 'get':
+            same = [w for w in writes if w['key'] == r['key'] and w['rev'] == r['rev']]
+            if same and same[0]['value'] != r['value']:
+                out.append(f'{r["key"]} at {r["rev"]} reads {r["value"]}, written {same[0]["value"]}')
+    return out
+
+
+@check('watches')
+def watches(cast):
+    """notes.watches: {key prefix, since, t, head, events, gone}: nothing within 20 s is missed."""
+    out = []
+    writes = [k for k in cast.notes.keys if k['op'] == 'put']
+    for w in cast.notes.watches:
+        if w.get('gone'):
+            late = [x for x in writes if x['key'].startswith(w['prefix']) and x['rev'] > w['since']
+                    and x['t'] < w['t0'] - ms(20000)]
+            asked = w.get('since_t')
+            if asked is not None and w['t'] - asked < ms(20000) and not late:
+                out.append(f'watch from {w["since"]} lost history of {sec(w["t"] - asked)}')
+            continue
+        got = {e['rev'] for e in w['events']}
+        if [e['rev'] for e in w['events']] != sorted(e['rev'] for e in w['events']):
+            out.append(f'watch from {w["since"]}: revisions did not rise')
+        for x in writes:
+            if x['key'].startswith(w['prefix']) and w['since'] < x['rev'] <= w['head'] and x['rev'] not in got:
+                out.append(f'watch of {w["prefix"]} from {w["since"]} to {w["head"]} missed {x["rev"]}')
+    return out
+
+
+@check('service-back')
+def service_back(cast):
+    """notes.losses: (t, text) once all that may come back has; service within 15 s."""
+    out = []
+    for t, text in cast.notes.losses:
+        runs = [r for r in cast.notes.runs if t < r['t'] <= t + ms(15000)]
+        if not runs:
+            out.append(f'no request ran within 15 s of {text} at {sec(t)}')
+    return out
--- /dev/null
+++ b/zinctrail/sim/days.py
@@ -0,0 +1,559 @@
+"""Faults and the days made of them. FAULTS is the registry: name -> fn(day).
+
+  python -m zinctrail.sim.days --seed=7 --faults=kill_master,split_core
+
+Each fault begins, schedules its own end, and returns how long until all that
+may come back has come back.
+"""
+
+import copy
+import random
+import sys
+
+import zinctrail.fleet as fleet
+import zinctrail.seam as seam
+import zinctrail.sim.cast as cast
+import zinctrail.sim.checks as checks
+import zinctrail.sim.world as world
+
+ms = seam.ms
+FAULTS = {}
+
+
+def fault(fn):
+    FAULTS[fn.__name__] = fn
+    return fn
+
+
+class Day:
+    """One seeded run: start, load, faults, a quiet end, verdicts."""
+
+    def __init__(self, seed, names=(), shape='small', length=ms(30000), trace=False, coord=True, bound=None,
+                 rate=None):
+        self.seed, self.names, self.length, self.coord = seed, list(names), length, coord
+        self.shape_name = shape
+        self.world = world.World(seed, bound, trace)
+        self.shape = fleet.PRESETS[shape]
+        self.rate = rate
+        self.cast = cast.Cast(self.world, self.shape)
+        self.rng = random.Random(f'day/{seed}')
+        self.said = []
+
+    def note(self, text):
+        self.said.append((self.world.now, text))
+        self.world.log(f'day: {text}')
+
+    def pick(self, role, up=True):
+        return self.rng.choice([n for n in self.world.of(role) if n.up or not up])
+
+    def later(self, delay, fn, *args):
+        self.world.after(delay, fn, *args)
+
+    def back(self, node, delay):
+        self.later(delay, lambda: node.up or node.start())
+
+    def run(self):
+        c, w = self.cast, self.world
+        c.start()
+        c.call_all(self.rate)
+        # Why some at home: the regions' bound needs traffic that has one.
+        for i, cell in enumerate(c.cells[:2]):
+            caller = cast.Caller(c, f'home{i}', cell, sorted(self.shape['services']), 2, [cell.split('/')[0]])
+            c.callers.append(caller)
+            caller.start()
+        if self.coord:
+            c.apps_all()
+        self.reader()
+        w.run(ms(4000))
+        per = self.length / max(1, len(self.names))
+        for name in self.names:
+            began = w.now
+            self.note(f'fault {name}')
+            over = FAULTS[name](self) or ms(0)
+            w.run(over)
+            # Why noted: from here on everything that may come back is back.
+            c.notes.losses.append((w.now, name))
+            w.run(max(ms(0), began + per - w.now))
+        if not self.names:
+            w.run(self.length)
+        w.run(ms(15000))
+        c.quiet()
+        return self
+
+    def reader(self):
+        if self.world.now < ms(10 ** 7):
+            self.cast.op.read()
+            self.world.after(ms(1500), self.reader)
+
+    def verdicts(self, only=None):
+        return checks.run(self.cast, only)
+
+    def again(self):
+        return (f'python -m zinctrail.sim.days --seed={self.seed} --shape={self.shape_name}'
+                f' --faults={",".join(self.names)} --seconds={self.length.total_seconds():g}')
+
+
+# -- processes ------------------------------------------------------------
+
+@fault
+def kill_master(day):
+    m = day.world.master()
+    if m:
+        m.kill()
+        day.back(m, ms(5000))
+    return ms(5000)
+
+
+@fault
+def kill_one_each(day):
+    for role in ('core', 'dir', 'prox'):
+        n = day.pick(role)
+        n.kill()
+        day.back(n, ms(day.rng.uniform(500, 6000)))
+    return ms(6000)
+
+
+@fault
+def kill_many(day):
+    nodes = list(day.world.nodes.values())
+    for n in day.rng.sample(nodes, len(nodes) // 2):
+        n.kill(power=day.rng.random() < 0.5)
+        day.back(n, ms(day.rng.uniform(500, 5000)))
+    return ms(5000)
+
+
+@fault
+def kill_all(day):
+    for n in day.world.nodes.values():
+        n.kill(power=True)
+        day.back(n, ms(day.rng.uniform(1000, 3000)))
+    return ms(3000)
+
+
+@fault
+def rolling_restart(day):
+    gap = ms(1500)
+    for i, n in enumerate(day.world.nodes.values()):
+        day.later(gap * i, lambda n=n: n.feed('stop'))
+        day.later(gap * i + ms(1200), lambda n=n: n.kill())
+        day.back(n, gap * i + ms(1300))
+    return gap * len(day.world.nodes) + ms(2000)
+
+
+@fault
+def graceful_proxy(day):
+    n = day.pick('prox')
+    n.feed('stop')
+    day.back(n, ms(14000))
+    return ms(14000)
+
+
+@fault
+def graceful_keeper(day):
+    n = day.pick('dir')
+    n.feed('stop')
+    day.back(n, ms(5000))
+    return ms(5000)
+
+
+@fault
+def freeze_proxy(day):
+    day.pick('prox').pause(ms(day.rng.uniform(1000, 9000)))
+    return ms(9000)
+
+
+@fault
+def freeze_master(day):
+    m = day.world.master()
+    if m:
+        m.pause(ms(day.rng.uniform(500, 6000)))
+    return ms(6000)
+
+
+@fault
+def replace_core(day):
+    """A core machine is gone for good; an empty one comes at a new address."""
+    w = day.world
+    old = day.pick('core')
+    old.kill()
+    name = f'core{len(w.nodes)}'
+    n = w.add(name, 'core', old.place.cell, old.place.seeds)
+    day.later(ms(2000), n.start)
+    # Why gone from the list: nobody is to start it again.
+    day.later(ms(2000), lambda: w.nodes.pop(old.name))
+    return ms(4000)
+
+
+@fault
+def die_confirming(day):
+    """Power goes right after a write, before what rests on it is sent."""
+    left = [day.rng.randrange(1, 30)]
+    hit = []
+
+    def die(node, e):
+        left[0] -= 1
+        if left[0] == 0:
+            day.note(f'power lost at {node.name} after {e.name}')
+            hit.append(node)
+            day.back(node, ms(3000))
+            return True
+        return False
+    day.world.die_in_write = die
+    day.later(ms(4000), lambda: setattr(day.world, 'die_in_write', None))
+    return ms(7000)
+
+
+@fault
+def lose_disk(day):
+    """A core machine loses its disk and comes back with nothing, under its old address."""
+    n = day.pick('core')
+    n.kill()
+    n.disk.files, n.disk.synced = {}, {}
+    day.back(n, ms(2000))
+    return ms(3000)
+
+
+@fault
+def damage_disk(day):
+    n = day.pick('core')
+    n.kill()
+    names = sorted(n.disk.files)
+    if names:
+        name = day.rng.choice(names)
+        text = n.disk.files[name]
+        i = day.rng.randrange(len(text))
+        n.disk.files[name] = text[:i] + chr(ord(text[i]) ^ 1) + text[i + 1:]
+    day.back(n, ms(2000))
+    return ms(3000)
+
+
+@fault
+def disk_full(day):
+    n = day.world.master() if day.rng.random() < 0.5 else day.pick('core')
+    if n:
+        n.disk.full = True
+        day.later(ms(5000), lambda: setattr(n.disk, 'full', False))
+    return ms(7000)
+
+
+@fault
+def disk_stalls(day):
+    n = day.world.master() if day.rng.random() < 0.5 else day.pick('core')
+    if n:
+        n.disk.stall = ms(day.rng.choice((20, 200, 2500)))
+        day.later(ms(5000), lambda: setattr(n.disk, 'stall', ms(0)))
+    return ms(9000)
+
+
+# -- network --------------------------------------------------------------
+
+@fault
+def isolate_one(day):
+    n = day.rng.choice(list(day.world.nodes.values()))
+    day.world.isolate(n.name)
+    day.later(ms(6000), day.world.heal)
+    return ms(6000)
+
+
+@fault
+def isolate_master(day):
+    m = day.world.master()
+    if m:
+        day.world.isolate(m.name)
+    day.later(ms(6000), day.world.heal)
+    return ms(6000)
+
+
+@fault
+def isolate_proxy(day):
+    """Cut from our own processes only: callers and endpoints still reach it."""
+    n = day.pick('prox')
+    for other in day.world.nodes:
+        if other != n.name:
+            day.world.cut(n.name, other)
+    day.later(ms(6000), day.world.heal)
+    return ms(6000)
+
+
+@fault
+def split_core(day):
+    cores = [n.name for n in day.world.of('core')]
+    day.rng.shuffle(cores)
+    half = cores[:len(cores) // 2]
+    for a in half:
+        for b in day.world.nodes:
+            if b not in half:
+                day.world.cut(a, b)
+    day.later(ms(6000), day.world.heal)
+    return ms(6000)
+
+
+@fault
+def split_core_from_rest(day):
+    """All control nodes see one another and nobody else sees them."""
+    cores = [n.name for n in day.world.of('core')]
+    for a in cores:
+        for b in day.world.nodes:
+            if b not in cores:
+                day.world.cut(a, b)
+    day.later(ms(5000), day.world.heal)
+    return ms(5000)
+
+
+@fault
+def one_way(day):
+    """Frames pass one way only between some pairs."""
+    names = list(day.world.nodes)
+    for _ in range(len(names)):
+        a, b = day.rng.sample(names, 2)
+        day.world.cut(a, b, both=False)
+    day.later(ms(6000), day.world.heal)
+    return ms(6000)
+
+
+@fault
+def lossy(day):
+    day.world.loss, day.world.copies, day.world.slow = 0.03, 0.03, ms(day.rng.uniform(0, 30))
+
+    def over():
+        day.world.loss = day.world.copies = 0.0
+        day.world.slow = ms(0)
+    day.later(ms(6000), over)
+    return ms(6000)
+
+
+@fault
+def cell_lost(day):
+    _lose_place(day, lambda cell, gone=day.rng.choice(day.cast.cells): cell == gone)
+    return ms(6000)
+
+
+@fault
+def region_lost(day):
+    _lose_place(day, lambda cell, gone=day.rng.choice(day.cast.cells).split('/')[0]: cell.split('/')[0] == gone)
+    return ms(6000)
+
+
+def _lose_place(day, lost):
+    for n in day.world.nodes.values():
+        if lost(n.place.cell) and n.up:
+            n.kill(power=True)
+            day.back(n, ms(5000 + day.rng.uniform(0, 500)))
+    for e in day.cast.ends:
+        if lost(e.cell) and e.up:
+            e.kill()
+            day.later(ms(5000 + day.rng.uniform(0, 1000)), e.start)
+
+
+@fault
+def swap_seeds(day):
+    """All seeds are replaced; whoever restarts knows only the new ones."""
+    new = [day.world.nodes[n].place.addr for n in day.rng.sample(sorted(day.world.nodes), 3)]
+    for n in day.world.nodes.values():
+        n.place.seeds = list(new)
+    n = day.pick('core')
+    n.kill()
+    day.back(n, ms(1000))
+    return ms(2000)
+
+
+@fault
+def stale_seeds(day):
+    for n in day.world.nodes.values():
+        n.place.seeds = ['10.99.0.1:1000', '10.99.0.2:1000', day.world.nodes['dir0'].place.addr]
+    return kill_many(day)
+
+
+# -- endpoints ------------------------------------------------------------
+
+def an_end(day):
+    return day.rng.choice([e for e in day.cast.ends if e.up])
+
+
+@fault
+def end_crashes(day):
+    e = an_end(day)
+    e.kill()
+    day.later(ms(5000), e.start)
+    return ms(5000)
+
+
+@fault
+def end_vanishes(day):
+    """Cut off without a word, for longer than its beats are waited for."""
+    e = an_end(day)
+    day.world.isolate(e.name)
+    day.later(ms(9000), day.world.heal)
+    return ms(10000)
+
+
+@fault
+def ends_replaced(day):
+    ends = [e for e in day.cast.ends if e.up]
+    for i, e in enumerate(ends):
+        day.later(ms(1500) * i, e.kill)
+        day.later(ms(1500) * i + ms(300), e.start)
+    return ms(1500) * len(ends)
+
+
+@fault
+def end_drains(day):
+    e = an_end(day)
+    e.set_state('draining')
+    day.later(ms(6000), e.kill)
+    day.later(ms(7000), e.start)
+    return ms(7000)
+
+
+@fault
+def end_leaves(day):
+    e = an_end(day)
+    e.set_state('leaving')
+    day.later(ms(6000), e.kill)
+    day.later(ms(7000), e.start)
+    return ms(7000)
+
+
+@fault
+def address_passed_on(day):
+    """An endpoint dies, and at once another service's comes up at its address."""
+    e = an_end(day)
+    other = day.rng.choice([s for s in day.shape['services'] if s != e.service])
+    e.kill()
+    new = cast.End(day.cast, e.name, e.addr, other, e.cell, e.slots)
+    day.cast.ends.append(new)
+    day.later(ms(50), new.start)
+    return ms(3000)
+
+
+@fault
+def cold_return(day):
+    for e in day.rng.sample(day.cast.ends, 2):
+        if e.up:
+            e.kill()
+        e.cold, e.warm_in = 0.9, ms(8000)
+        day.later(ms(500), e.start)
+    return ms(3000)
+
+
+@fault
+def outcome_lost(day):
+    _spoil(day, 'lose', 0.3)
+    return ms(6000)
+
+
+@fault
+def garbled(day):
+    for how in ('garble', 'cut_short', 'misroute'):
+        _spoil(day, how, 0.2)
+    return ms(6000)
+
+
+def _spoil(day, how, chance):
+    for e in day.cast.ends:
+        setattr(e, how, chance)
+        day.later(ms(6000), lambda e=e: setattr(e, how, 0.0))
+
+
+@fault
+def slow_ends(day):
+    for e in day.cast.ends:
+        e.work = (200, 3000)
+        day.later(ms(6000), lambda e=e: setattr(e, 'work', (2, 20)))
+    return ms(9000)
+
+
+@fault
+def storm(day):
+    """Callers repeat at once and often, while outcomes get lost."""
+    for c in day.cast.callers:
+        c.storm = 0.5
+        day.later(ms(8000), lambda c=c: setattr(c, 'storm', 0.0))
+    _spoil(day, 'lose', 0.2)
+    return ms(8000)
+
+
+# -- operators ------------------------------------------------------------
+
+@fault
+def evacuate(day):
+    cell = day.rng.choice(day.cast.cells)
+    day.cast.op.evacuate(cell)
+    day.later(ms(10000), day.cast.op.evacuate, cell, False)
+    return ms(14000)
+
+
+@fault
+def move_pool(day):
+    """A pool's selector goes from everywhere to one cell and back."""
+    service = day.rng.choice(sorted(day.shape['services']))
+    cells = {e.cell for e in day.cast.ends if e.service == service}
+    cell = day.rng.choice(sorted(cells))
+    day.cast.op.change(lambda c: c['pools'][service].update(selector={'cell': cell}))
+    day.later(ms(8000), day.cast.op.change, lambda c: c['pools'][service].pop('selector', None))
+    return ms(11000)
+
+
+@fault
+def operators_collide(day):
+    def flurry(n):
+        for who in range(2):
+            op = cast.Operator(day.cast, f'op{who}')
+            op.change(lambda c: c['labels'].update({f'10.9.9.{n}:1': {'by': str(who)}}))
+        if n < 8:
+            day.later(ms(500), flurry, n + 1)
+    flurry(0)
+    return ms(6000)
+
+
+@fault
+def invalid_config(day):
+    def sent(doc):
+        if doc:
+            bad = copy.deepcopy(doc['config'])
+            bad['labels']['10.9.9.200:1'] = {'half': 'applied'}
+            bad['rules']['broken'] = {'pool': 'nowhere', 'order': -1}
+            day.cast.op.apply(bad, doc['generation'])
+    for i in range(4):
+        day.later(ms(700) * i, day.cast.op.read, sent)
+    return ms(4000)
+
+
+@fault
+def large_config(day):
+    big = {f'10.8.{i >> 8}.{i & 255}:1': {'note': 'x' * 100} for i in range(4000)}
+    day.cast.op.change(lambda c: c['labels'].update(big))
+    day.later(ms(6000), day.cast.op.change, lambda c: [c['labels'].pop(k, None) for k in big])
+    return ms(8000)
+
+
+def main(argv):
+    opts = dict(a.lstrip('-').partition('=')[::2] for a in argv)
+    if 'help' in opts:
+        print(__doc__.strip())
+        print('\n  --search=N   N seeds of random faults from --seed on, 8 at a time'
+              '\n  --shape=small|accra|ukks  --seconds=N  --rate=N  --trace'
+              f'\n\nFaults: {", ".join(FAULTS)}')
+        return 0
+    if 'search' in opts:
+        import zinctrail.sim.search as search
+        return search.main(opts)
+    names = [n for n in opts.get('faults', '').split(',') if n]
+    unknown = [n for n in names if n not in FAULTS]
+    if unknown:
+        print(f'no such faults: {", ".join(unknown)}', file=sys.stderr)
+        return 2
+    day = Day(int(opts.get('seed', 1)), names, opts.get('shape', 'small'),
+              ms(1000 * float(opts.get('seconds', 30))), 'trace' in opts,
+              rate=float(opts['rate']) if 'rate' in opts else None).run()
+    bad = day.verdicts()
+    print(f'{day.cast.tally()} faults of apps {sum(a.faults for a in day.cast.apps)}')
+    for text in bad:
+        print(text)
+    if bad:
+        print(f'replay: {day.again()}')
+    return 1 if bad else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
