--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -183,13 +183,14 @@
     """What comes back for raw bytes, until the other side closes or answers."""
     host, _, port = addr.rpartition(':')
     with socket.create_connection((host, int(port)), timeout=30) as s:
-        s.sendall(text)
-        s.shutdown(socket.SHUT_WR)
         out = b''
         try:
+            s.sendall(text)
+            s.shutdown(socket.SHUT_WR)
             while chunk := s.recv(65536):
                 out += chunk
-        except ConnectionResetError:
+        except OSError:
+            # Why fine: the other side may hang up on what it can't use before we are done.
             pass
         return out
 
--- /dev/null
+++ b/zinctrail/bench.py
@@ -0,0 +1,190 @@
+"""Figures for docs/measure.md.
+
+  python -m zinctrail.bench gap [SEEDS]      master killed: time to the next generation in force (virtual)
+  python -m zinctrail.bench bytes [SHAPE]    bytes published for one change (virtual network)
+  python -m zinctrail.bench claims [N]       claims a second by number waiting at once, one real core of three
+  python -m zinctrail.bench fleet [N]        a real fleet: requests, then the gap after N killed masters
+"""
+
+import json
+import random
+import statistics
+import sys
+import tempfile
+import threading
+import time
+
+import twisted.internet.reactor as reactor
+import twisted.internet.threads as threads
+
+import zinctrail.edge.wire as wire
+import zinctrail.fleet as fleet
+import zinctrail.seam as seam
+import zinctrail.sim.cast as cast
+import zinctrail.sim.world as world
+
+ms = seam.ms
+
+
+def spread(vals):
+    vals = sorted(vals)
+    q = [vals[min(len(vals) - 1, len(vals) * p // 100)] for p in (50, 90, 99)]
+    return {'n': len(vals), 'p50': round(q[0], 3), 'p90': round(q[1], 3), 'p99': round(q[2], 3),
+            'most': round(vals[-1], 3)}
+
+
+def gap(seeds=100, shape='small'):
+    """Virtual ms from a master's end to the successor's first generation in force."""
+    out = {}
+    for how in ('killed', 'frozen', 'handed over'):
+        got = []
+        for seed in range(1, seeds + 1):
+            w = world.World(seed)
+            c = cast.Cast(w, fleet.PRESETS[shape])
+            c.start()
+            w.run(ms(w.rng.uniform(0, 2000)))
+            old, began = w.master(), w.now
+            if how == 'killed':
+                old.kill()
+            elif how == 'frozen':
+                old.pause(ms(30000))
+            else:
+                old.feed('stop')
+            w.run(ms(30000), lambda: w.master() not in (None, old))
+            got.append(seam.to_ms(w.now - began))
+        lease = seam.to_ms(w.bounds.lease)
+        out[how] = {**spread(got), 'over_lease': sum(g > lease for g in got)}
+    return out
+
+
+def bytes_per_change(shape='small'):
+    w = world.World(1)
+    c = cast.Cast(w, fleet.PRESETS[shape])
+    c.start()
+    out = {'members': len(w.nodes)}
+
+    def label(doc):
+        doc['labels']['10.9.9.9:1'] = {'a': 'b'}
+
+    def evacuate(doc):
+        doc['cells'][c.cells[0]]['evacuated'] = True
+
+    def large(doc):
+        doc['labels'].update({f'10.8.{i >> 8}.{i & 255}:1': {'note': 'x' * 100} for i in range(4000)})
+    for name, fn in (('one label', label), ('evacuation', evacuate), ('4000 labels', large)):
+        before = w.bytes.get('pub', 0)
+        done = []
+        c.op.change(fn, lambda s, d: done.append(s))
+        w.run(ms(5000), lambda: bool(done))
+        w.run(ms(300))
+        out[name] = w.bytes['pub'] - before
+    full = w.master().machine.rep.whole(routes=True)
+    out['whole routes'] = len(json.dumps(full))
+    return out
+
+
+class Core3:
+    """Three real cores and a link that asks the master, as a proxy does."""
+
+    def __init__(self):
+        self.fleet = fleet.Fleet(dict(fleet.PRESETS['small'], dirs=1, proxies=1), tempfile.mkdtemp(), reactor)
+        self.fleet.start()
+        self.fleet.configure()
+        self.master = self.fleet.until(self.fleet.master, 'a master')
+        self.addr = self.fleet.ports.take()
+        self.fleet.ports.free(self.addr)
+        self.waits = {}
+        self.no = 0
+        threads.blockingCallFromThread(reactor, self.listen)
+
+    def listen(self):
+        self.links = wire.Links(reactor, 32 << 20, self.frame, lambda addr: None)
+        self.links.listen(self.addr)
+
+    def frame(self, env):
+        cb = self.waits.pop(env.get('key'), None)
+        if cb:
+            cb(env['result'])
+
+    def claim(self, epoch, cb):
+        self.no += 1
+        key = f'b{self.no}'
+        self.waits[key] = cb
+        self.links.send(self.master.addr, {
+            't': 'ask', 'v': 1, 'c': '', 'f': 'bench', 'a': self.addr, 'key': key, 'op': 'claim',
+            'args': {'id': f'{epoch}.{key}', 'attempt': 1, 'nonce': key, 'proxy': 'bench', 'at': self.addr}})
+
+
+def claims(n=2000):
+    core = Core3()
+    out = {}
+    try:
+        for width in (1, 8, 64, 256):
+            epoch = core.fleet.until(lambda: core.fleet.call('GET', '/v1/epoch')[1].get('epoch'), 'an epoch')
+            before = core.fleet.call('GET', '/v1/status')[1]['state']['generation'][1]
+            left, done = [n if width > 1 else n // 10], threading.Event()
+            total = left[0]
+            back = [0]
+
+            def one(res=None):
+                if res is not None:
+                    assert res['status'] == 200 and res['got'] == 'claimed', res
+                    back[0] += 1
+                if left[0]:
+                    left[0] -= 1
+                    core.claim(epoch, one)
+                elif back[0] == total:
+                    done.set()
+            began = time.monotonic()
+            reactor.callFromThread(lambda: [one() for _ in range(width)])
+            assert done.wait(120)
+            took = time.monotonic() - began
+            after = core.fleet.call('GET', '/v1/status')[1]['state']['generation'][1]
+            out[f'{width} at once'] = {'per_second': round(total / took),
+                                       'claims_per_generation': round(total / max(1, after - before), 1)}
+    finally:
+        core.fleet.stop()
+    return out
+
+
+def real(kills=5):
+    f = fleet.Fleet(fleet.PRESETS['small'], tempfile.mkdtemp(), reactor)
+    try:
+        f.start()
+        f.configure()
+        threads.blockingCallFromThread(reactor, f.start_endpoints, random.Random(1))
+        time.sleep(3)
+        threads.blockingCallFromThread(reactor, lambda: f.start_callers(random.Random(2)) and None)
+        time.sleep(10)
+        out = {'calm': dict(f.counts), 'waits_ms': fleet.spread(f.waits)}
+        gaps = []
+        for _ in range(kills):
+            old = f.until(f.master, 'a master')
+            old.kill()
+            began = time.monotonic()
+            f.until(lambda: (f.master() or old) is not old, 'a successor')
+            gaps.append(1000 * (time.monotonic() - began))
+            old.start()
+            time.sleep(4)
+        out['gap_ms'] = spread(gaps)
+        out['all'] = f.report()
+        return out
+    finally:
+        f.stop()
+
+
+def main(argv):
+    if not argv or argv[0] not in BENCHES:
+        print(__doc__.strip())
+        return 0 if argv[:1] == ['--help'] else 2
+    fn, kind = BENCHES[argv[0]]
+    if argv[0] in ('claims', 'fleet'):
+        threading.Thread(target=reactor.run, kwargs={'installSignalHandlers': False}, daemon=True).start()
+    print(json.dumps(fn(*[kind(a) for a in argv[1:2]]), indent=1))
+    return 0
+
+
+BENCHES = {'gap': (gap, int), 'bytes': (bytes_per_change, str), 'claims': (claims, int), 'fleet': (real, int)}
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
