--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -38,6 +38,14 @@
     return f'ckpt-{at[1]:016d}-{at[0]:08d}'
 
 
+def at_of(name):
+    try:
+        _, gen, term = name.split('-')
+        return int(term), int(gen)
+    except ValueError as e:
+        raise faults.DamageFault(f'{name}: not a name of ours') from e
+
+
 def load(files):
     """files: {name: text} -> (node id, cluster, term, vote, replica) or DamageFault."""
     rep = replica.Replica()
@@ -47,12 +55,13 @@
             raise faults.DamageFault('node: missing beside acknowledged files')
         return None, '', 0, None, rep
     node = dec('node', files['node'])
-    docs = {n: dec(n, t) for n, t in files.items() if n.startswith(('gen-', 'ckpt-'))}
     term = dec('term', files['term']) if 'term' in files else {'term': 0, 'vote': None}
-    tops = [(d['term'], d['gen']) for n, d in docs.items() if n.startswith('ckpt-')]
-    if tops:
-        at = max(tops)
-        rep.accept(at, full=docs[ckpt_name(at)]['tables'])
+    names = {n: at_of(n) for n in files if n.startswith(('gen-', 'ckpt-'))}
+    top = max([at for n, at in names.items() if n.startswith('ckpt-')], default=(0, 0))
+    # Why nothing older: it is needless, and may be half written over by then.
+    docs = {n: dec(n, files[n]) for n, at in names.items() if at > top or n == ckpt_name(top)}
+    if top > (0, 0):
+        rep.accept(top, full=docs[ckpt_name(top)]['tables'])
     nexts = {}
     for n, d in docs.items():
         if n.startswith('gen-'):
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -100,6 +100,8 @@
         rep.full_unsaid = True
         self.unfit = False
         self.since_ckpt = 0
+        self.gen_bytes = 0
+        self.ckpt_bytes = 0
         self.tries = 0
         self.prevotes = None
         self.votes = None
@@ -128,7 +130,9 @@
     def write(self, name, doc, gone=()):
         self.files.add(name)
         self.files -= set(gone)
-        self.out.append(seam.Write(name, journal.enc(doc), tuple(gone)))
+        text = journal.enc(doc)
+        self.out.append(seam.Write(name, text, tuple(gone)))
+        return len(text)
 
     def on_start(self):
         if self.fresh:
@@ -145,17 +149,21 @@
 
     def keep(self, at, base, rows, full):
         self.since_ckpt += 1
-        if full is not None or self.since_ckpt >= self.bounds.checkpoint_every:
+        # Why by size too: a large state must not be written whole for a few small generations.
+        due = self.since_ckpt >= self.bounds.checkpoint_every and self.gen_bytes >= self.ckpt_bytes
+        if full is not None or due:
             self.write_ckpt()
         else:
-            self.write(journal.gen_name(at), {'term': at[0], 'gen': at[1], 'base': base, 'rows': rows})
+            self.gen_bytes += self.write(journal.gen_name(at), {'term': at[0], 'gen': at[1], 'base': base,
+                                                                'rows': rows})
 
     def write_ckpt(self):
         self.since_ckpt = 0
         at = self.rep.accepted
         name = journal.ckpt_name(at)
         gone = sorted(n for n in self.files if n.startswith(('gen-', 'ckpt-')) and n != name)
-        self.write(name, {'term': at[0], 'gen': at[1], 'tables': self.rep.whole()}, gone)
+        self.gen_bytes = 0
+        self.ckpt_bytes = self.write(name, {'term': at[0], 'gen': at[1], 'tables': self.rep.whole()}, gone)
 
     def on_disk_fault(self, text):
         """A write failed: what stood behind it was not done, and nothing more is promised."""
@@ -698,7 +706,7 @@
 
     def up_to_date(self, p):
         if p.role == 'core':
-            return p.committed == self.rep.committed
+            return self.nearly(p)
         f = self.flight
         if f and f['routes'] and not f['done']:
             return p.committed >= tup(self.rep.get('meta', 'routes'))
@@ -913,7 +921,9 @@
         s.update(unfit=self.unfit, voters=self.vc(), counts=dict(self.counts), queue=len(self.tasks),
                  members={n: {**row, 'ack_ms': partner.age(self.now, self.peers[n].ack_at) if n in self.peers else 0,
                               'generation': list(self.peers[n].committed) if n in self.peers else
-                              list(self.rep.committed)}
+                              list(self.rep.committed),
+                              'leased': n == self.node or (n in self.peers and self.up_to_date(self.peers[n])
+                                                           and self.now - self.peers[n].ack_at < self.bounds.lease)}
                           for n, row in self.rep.get('members').items()} if self.mode == 'leader' else
                  dict(self.rep.get('members')))
         return s
--- a/zinctrail/edge/disk.py
+++ b/zinctrail/edge/disk.py
@@ -1,5 +1,6 @@
 """The data folder: written aside, synced, renamed, and the folder synced too."""
 
+import collections
 import fcntl
 import os
 import time
@@ -7,10 +8,16 @@
 import zinctrail.faults as faults
 
 
+# Why bounded: a folder must not keep growing when little is written.
+OLD_MOST = 2048
+
+
 class Disk:
 
     def __init__(self, folder):
         self.folder = folder
+        # Files that a synced checkpoint made needless, by age.
+        self.old = collections.deque()
         try:
             os.makedirs(folder, exist_ok=True)
             self.lock = open(os.path.join(folder, 'lock'), 'w')
@@ -52,24 +59,42 @@
     def write(self, name, text, gone=()):
         path = os.path.join(self.folder, name)
         try:
-            fd = os.open(path + '.tmp', os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+            fd = self._aside(path + '.tmp')
             try:
                 data = text.encode()
+                size = len(data)
                 while data:
                     data = data[os.write(fd, data):]
+                os.ftruncate(fd, size)
                 os.fsync(fd)
             finally:
                 os.close(fd)
             os.rename(path + '.tmp', path)
             self._sync_folder()
-            for old in gone:
-                # Why only now: the checkpoint that makes them needless is synced.
-                try:
-                    os.remove(os.path.join(self.folder, old))
-                except FileNotFoundError:
-                    pass
         except OSError as e:
             raise faults.DiskFault(f'{name}: {e.strerror or e}') from e
+        # Why only now: the checkpoint that makes them needless is synced.
+        self.old.extend(g for g in gone if g != name)
+
+    def _aside(self, tmp):
+        """Open the file to write aside: an old one over again, where there is one.
+
+        Why: removing hundreds of files at a checkpoint held up the loop for a
+        second; writing an old one over costs less than making a new one. If
+        the power goes here, the old name may show new bytes: the loader does
+        not look at what is older than the newest checkpoint.
+        """
+        if self.old:
+            try:
+                os.rename(os.path.join(self.folder, self.old.popleft()), tmp)
+            except FileNotFoundError:
+                pass
+        if len(self.old) > OLD_MOST:
+            try:
+                os.remove(os.path.join(self.folder, self.old.popleft()))
+            except FileNotFoundError:
+                pass
+        return os.open(tmp, os.O_WRONLY | os.O_CREAT, 0o644)
 
     def _sync_folder(self):
         fd = os.open(self.folder, os.O_RDONLY)
