Connect to IP numbers without a resolver thread; replay from several processes

Cause: twisted's host name endpoint hands every connection, numbers too, to a thread pool of ten; when all reconnect after a full stop, requests waited behind it (found by a stack of the replaying process).

--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -3,14 +3,17 @@
 import io
 
 import twisted.internet.defer as defer
+import twisted.internet.endpoints as endpoints
 import twisted.internet.error as neterror
 import twisted.internet.protocol as protocol
 import twisted.python.failure as failure
 import twisted.web.client as client
 
 import twisted.web.http_headers as http_headers
+import twisted.web.iweb as iweb
 import twisted.web.resource as resource
 import twisted.web.server as server
+import zope.interface
 
 import zinctrail.seam as seam
 
@@ -114,6 +117,21 @@
             # Why PotentialDataLoss too: a reply without an end can't be told from a cut one.
             self.done.callback((b''.join(self.parts), 'reply cut short'))
 
+@zope.interface.implementer(iweb.IAgentEndpointFactory)
+class ByNumber:
+    """Connects to IP numbers as they are.
+
+    Why: twisted's own way hands every new connection to a resolver thread,
+    numbers too, which piles up just when everybody reconnects.
+    """
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def endpointForURI(self, uri):
+        return endpoints.TCP4ClientEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=1)
+
+
 class Fetcher:
     """Calls to endpoints over connections kept per incarnation."""
 
@@ -130,7 +148,8 @@
             pool.maxPersistentPerHost = 64
             # Why below the server's: the side that reuses must give up first.
             pool.cachedConnectionTimeout = IDLE / 2
-            self.pools[key] = (pool, client.Agent(self.reactor, connectTimeout=1, pool=pool))
+            agent = client.Agent.usingEndpointFactory(self.reactor, ByNumber(self.reactor), pool)
+            self.pools[key] = (pool, agent)
         return self.pools[key][1]
 
     def close(self, key):
--- a/zinctrail/prog/ztreplay.py
+++ b/zinctrail/prog/ztreplay.py
@@ -15,6 +15,7 @@
 import json
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -151,6 +152,8 @@
         self.open = 0
         self.lib = coord.Coord(reactor, dirs)
         self.sent = []
+        self.not_run = []
+        self.echo = FLAGS.echo
 
     def run(self, events, speed):
         self.events, self.speed, self.done = events, speed, defer.Deferred()
@@ -197,9 +200,10 @@
 
         def note(reply):
             out = reply.outcome
-            if self.fleet and out == 'not-run' and self.fleet.ran[reply.id]:
-                out = 'false-not-run'
-            if self.fleet and out == 'ran' and reply.status == 200 and json.loads(reply.body)['id'] != reply.id:
+            if out == 'not-run' and reply.id:
+                self.not_run.append(reply.id)
+            # Why only where told: stand-in endpoints give the id back, others need not.
+            if self.echo and out == 'ran' and reply.status == 200 and json.loads(reply.body)['id'] != reply.id:
                 out = 'wrong'
             self.counts[out] = self.counts.get(out, 0) + 1
             self.waits.append(ms(1000 * (time.monotonic() - began)))
@@ -234,14 +238,28 @@
         if self.fleet:
             self.started(threads.deferToThread(self.fleet.bring_about, ev['name'], ev.get('last_ms', 3000) / 1000))
 
+    def add(self, rep):
+        """Take in the raw report of a part."""
+        for mine, theirs in ((self.counts, rep['outcomes']), (self.calls, rep['calls'])):
+            for k, n in theirs.items():
+                mine[k] = mine.get(k, 0) + n
+        self.waits += [ms(int(k)) for k, n in rep['hist'].items() for _ in range(n)]
+        self.late = max(self.late, rep['latest_ms'])
+        self.not_run += rep['not_run']
+
     def report(self):
-        rep = {'outcomes': self.counts, 'calls': self.calls, 'waits_ms': fleet.spread(fleet.waits_of(self.waits)),
+        hist = fleet.waits_of(self.waits)
+        rep = {'outcomes': self.counts, 'calls': self.calls, 'waits_ms': fleet.spread(hist),
                'latest_ms': round(self.late)}
+        if FLAGS.raw:
+            return {**rep, 'hist': hist, 'not_run': self.not_run}, []
         bad = []
         if self.fleet:
             twice = sum(1 for n in self.fleet.ran_once.values() if n > 1)
-            bad += [f'run-twice: {twice} ids'] if twice else []
-        bad += [f'{k}: {self.counts[k]}' for k in ('wrong', 'false-not-run') if self.counts.get(k)]
+            false = sum(1 for rid in self.not_run if self.fleet.ran[rid])
+            bad += [f'{name}: {n} ids' for name, n in (('run-twice', twice), ('false-not-run', false)) if n]
+        if self.counts.get('wrong'):
+            bad.append(f'wrong-outcome: {self.counts["wrong"]}')
         return rep, bad
 
 
@@ -256,12 +274,16 @@
     """Run the reactor round one replay: start() gives a Deferred of (report, faults)."""
     got = []
 
+    def stop():
+        if reactor.running:
+            reactor.stop()
+
     def end(res):
         got.append(res)
-        reactor.stop()
+        stop()
     reactor.callWhenRunning(lambda: start().addBoth(end))
     for s in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(s, lambda *_: reactor.callFromThread(reactor.stop))
+        signal.signal(s, lambda *_: reactor.callFromThread(stop))
     reactor.run(installSignalHandlers=False)
     if not got:
         raise faults.SettingFault('interrupted')
@@ -276,6 +298,16 @@
             f.writelines(line + '\n' for line in day.write(real.head, real.sent))
 
 
+def one_part(head, events, dirs):
+    """Play some of the events from a process of its own; blocks until its raw report."""
+    got = subprocess.run([sys.executable, '-m', 'zinctrail.prog.ztreplay', 'at', '-', f'--dirs={",".join(dirs)}',
+                          '--raw', '--echo', f'--speed={FLAGS.speed}'], input='\n'.join(day.write(head, events)),
+                         stdout=subprocess.PIPE, text=True)
+    if got.returncode:
+        raise faults.SettingFault(f'a part ended with code {got.returncode}')
+    return json.loads(got.stdout)
+
+
 def in_fleet(head, events):
     unknown = [ev['name'] for ev in events if ev['do'] == 'fault' and ev['name'] not in day.REAL_FAULTS]
     if unknown:
@@ -289,8 +321,20 @@
         want = sum(f.shape['services'].values())
         yield threads.deferToThread(f.until, lambda: len(f.call('GET', '/v1/status')[1].get('state', {}).get(
             'endpoints', ())) >= want, 'all endpoints')
-        real = Real(head, [p.http for p in f.of('dir')], f)
-        yield real.run(events, FLAGS.speed)
+        dirs = [p.http for p in f.of('dir')]
+        real = Real(head, dirs, f)
+        real.echo = True
+        load = [ev for ev in events if ev['do'] in ('request', 'call')]
+        if FLAGS.parts:
+            # Why apart: one process can't play hundreds of requests a second and the endpoints too.
+            yield threads.deferToThread(f.until, lambda: f.call('GET', '/v1/epoch', role='dir')[0] == 200, 'an epoch')
+            own = real.run([ev for ev in events if ev['do'] not in ('request', 'call')], FLAGS.speed)
+            parts = [threads.deferToThread(one_part, head, load[i::FLAGS.parts], dirs) for i in range(FLAGS.parts)]
+            for part in parts:
+                real.add((yield part))
+            yield own
+        else:
+            yield real.run(events, FLAGS.speed)
         record(real)
         return real.report()
     f.start()
@@ -333,6 +377,9 @@
     absl.flags.DEFINE_string('closing', 'kill_all', 'make: the closing fault.')
     absl.flags.DEFINE_string('record', '', 'fleet, at: write what was sent, as a day.')
     absl.flags.DEFINE_string('folder', '', 'fleet: where data and logs go.')
+    absl.flags.DEFINE_integer('parts', 0, 'fleet: play requests and calls from so many processes.', lower_bound=0)
+    absl.flags.DEFINE_bool('echo', False, 'at: endpoints give the request id back; check it.')
+    absl.flags.DEFINE_bool('raw', False, 'at: report the whole histogram, for adding up.')
     absl.flags.DEFINE_list('dirs', [], 'at: HTTP addresses of directories.')
     args = main.parse(__doc__)
     try:
