Operator policies: a pool's own choice of endpoint, in Lua, bounded and checked

By lupa; no policy unless the configuration has one; bounded in steps and memory, so that it does the same on every machine; validated with the configuration on a sample; falls back with a logged fault. Ruled out: a bound in time, which would differ from machine to machine.

--- a/zinctrail/ctl/config.py
+++ b/zinctrail/ctl/config.py
@@ -1,6 +1,6 @@
 """The operator's document: read and checked by hand, every fault with its place.
 
-{"pools":  {NAME: {"service": S, "selector": {LABEL: VALUE or [VALUES]}}},
+{"pools":  {NAME: {"service": S, "selector": {LABEL: VALUE or [VALUES]}, "policy": LUA}},
  "rules":  {NAME: {"match": {LABEL: VALUE or [VALUES]}, "pool": POOL, "order": N,
                    "deadline_ms": N, "run_once": BOOL, "repeat": {"attempts": N}}},
  "cells":  {NAME: {"region": R, "labels": {..}, "evacuated": BOOL}},
@@ -9,6 +9,7 @@
 
 import re
 
+import zinctrail.ctl.policy as policy
 import zinctrail.faults as faults
 
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._/:-]{0,99}\Z')
@@ -81,7 +82,11 @@
 
 
 def _pool(r, path, row, doc):
-    if r.fields(path, row, ('service', 'selector'), ('service',)):
+    if r.fields(path, row, ('service', 'selector', 'policy'), ('service',)):
+        if 'policy' in row:
+            why = policy.check(row['policy'])
+            if why:
+                r.fault(f'{path}.policy', why)
         if 'service' in row:
             r.name(f'{path}.service', row['service'])
         if 'selector' in row:
--- a/zinctrail/ctl/routes.py
+++ b/zinctrail/ctl/routes.py
@@ -52,6 +52,10 @@
         self._work_out()
         return name in self.pools
 
+    def labels_of(self, inc):
+        self._work_out()
+        return self.labels[inc]
+
     def rule_for(self, labels):
         self._work_out()
         for _, name, row in self.rules:
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -7,6 +7,7 @@
 import zinctrail.agree.partner as partner
 import zinctrail.ctl.api as api
 import zinctrail.ctl.claims as claims
+import zinctrail.ctl.policy as policy
 import zinctrail.ctl.routes as routes
 import zinctrail.data.passes as passes
 import zinctrail.data.repeats as repeats
@@ -67,6 +68,7 @@
         self.incs = set()
         self.left = False
         self.asks_kept = {}
+        self.policies = {}
 
     def count(self):
         self.no += 1
@@ -246,7 +248,7 @@
         p = self.pool(rec.pool)
         if p.until <= self.now:
             return None
-        best = None
+        good = []
         here, region = self.place.cell, self.routes.region(self.place.cell)
         for inc, n in p.grants.items():
             if p.use[inc] >= n or inc in rec.tried or not self.routes.usable(inc):
@@ -258,9 +260,34 @@
             if rec.home and there not in rec.home:
                 continue
             cost = (there != region, cell != here, p.use[inc] / n, self.rng.random())
-            if best is None or cost < best[0]:
-                best = (cost, inc)
-        return best[1] if best else None
+            good.append((cost, inc))
+        if not good:
+            return None
+        good.sort()
+        return self.by_policy(rec, [inc for _, inc in good]) or good[0][1]
+
+    def by_policy(self, rec, incs):
+        """What the pool's own policy chooses among these; None without one, or if it fails."""
+        source = (self.rep.get('conf', f'pools/{rec.pool}') or {}).get('policy')
+        if source is None:
+            return None
+        kept = self.policies.get(rec.pool)
+        try:
+            if kept is None or kept.source != source:
+                kept = self.policies[rec.pool] = policy.Policy(source)
+            p = self.pool(rec.pool)
+            ends = [{'addr': e['addr'], 'cell': e['cell'], 'region': self.routes.region(e['cell']),
+                     'use': p.use[i], 'granted': p.grants[i], 'labels': self.routes.labels_of(i)}
+                    for i, e in ((i, self.routes.end(i)) for i in incs)]
+            labels = passes.pairs(rec.call.headers.get('zt-labels', ''))
+            return incs[kept.choose({'id': rec.id, 'service': rec.service, 'attempt': rec.attempt,
+                                     'labels': labels}, ends)]
+        except policy.PolicyFault as e:
+            # Why not dropped: the built-in choice serves as well, and the operator is told.
+            self.counts['policy_faults'] += 1
+            if self.counts['policy_faults'] % 1000 == 1:
+                self.log(f'Policy of pool {rec.pool} failed: {e}. Built-in choice used.')
+            return None
 
     def may_queue(self, rec):
         p = self.pool(rec.pool)
