Host figures on the status page; tests for joining at a foreign check and for the data folder

Cause: connections a request, stalls, syncs, bytes and memory could not be seen from outside; the join at a check for a former self was shown only by a measurement. A first test of it through the simulator passed with the guard off (the probe won the race) and was replaced by one at the machine, which fails without it.

--- a/features/agree.feature
+++ b/features/agree.feature
@@ -159,6 +159,15 @@
     Then its lease ends 2400 ms after it answered
     And a grant for a check it never answered changes nothing
 
+  Scenario Outline: A check for whoever was at this address before is answered by joining
+    Given a proxy that follows nobody
+    When b's check for <whom> arrives
+    Then it <answer>
+    Examples:
+      | whom         | answer             |
+      | itself       | answers the check  |
+      | somebody else | asks to join      |
+
   Scenario Outline: Bounds are checked together
     When bound <name> is <ms> ms
     Then that is <verdict>
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -46,3 +46,9 @@
     Given a small world with traffic
     When every process is told to stop and started again at the next wire level, one after another
     Then no more than 2 percent of requests fail
+
+  Scenario: The data folder writes old files over, and forgets what was left aside
+    Given a data folder with a checkpoint that made two generations needless
+    When two more generations are written and one is left aside
+    Then the old files are gone, the new ones are whole, and nothing is left aside
+    And a second process can not use the folder
--- a/features/steps/agree_steps.py
+++ b/features/steps/agree_steps.py
@@ -399,3 +399,24 @@
 def _(context, name, n):
     b = dataclasses.replace(bounds.Bounds(), **{name: seam.ms(n)})
     context.verdict = 'refused' if b.faults() else 'taken'
+
+
+@behave.given('a proxy that follows nobody')
+def _(context):
+    context.execute_steps('given a proxy that follows b')
+
+
+@behave.when("b's check for {whom} arrives")
+def _(context, whom):
+    to = context.rig.m.node if whom == 'itself' else 'former'
+    context.rig.recv('b', 'chk', term=3, to=to, round=1, http='')
+
+
+@behave.then('it answers the check')
+def _(context):
+    assert context.rig.sent('chk_re') and not context.rig.sent('join') and context.rig.m.mode == 'follower'
+
+
+@behave.then('it asks to join')
+def _(context):
+    assert context.rig.sent('join') and not context.rig.sent('chk_re') and context.rig.m.mode == 'candidate'
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -2,6 +2,7 @@
 import glob
 import json
 import os
+import tempfile
 
 import behave
 
@@ -10,6 +11,8 @@
 import zinctrail.bounds as bounds
 import zinctrail.ctl.routes as routes
 import zinctrail.dir.keeper as keeper
+import zinctrail.edge.disk as disk
+import zinctrail.faults as faults
 import zinctrail.fleet as fleet
 import zinctrail.seam as seam
 import zinctrail.sim.cast as cast
@@ -386,3 +389,35 @@
 @behave.given('a full day of {shape} with {names}')
 def _(context, shape, names):
     context.day = days.Day(7, names.split(','), shape, ms(10000)).run()
+
+
+@behave.given('a data folder with a checkpoint that made two generations needless')
+def _(context):
+    context.folder = tempfile.mkdtemp(prefix='zt-disk-')
+    context.disk = disk.Disk(context.folder)
+    for name in ('gen-1', 'gen-2'):
+        context.disk.write(name, 'x' * 100)
+    context.disk.write('ckpt-2', 'whole', ('gen-1', 'gen-2'))
+
+
+@behave.when('two more generations are written and one is left aside')
+def _(context):
+    context.disk.write('gen-3', 'short')
+    context.disk.write('gen-4', 'y' * 500)
+    with open(os.path.join(context.folder, 'gen-5.tmp'), 'w') as f:
+        f.write('torn')
+
+
+@behave.then('the old files are gone, the new ones are whole, and nothing is left aside')
+def _(context):
+    assert context.disk.load() == {'ckpt-2': 'whole', 'gen-3': 'short', 'gen-4': 'y' * 500}
+    assert not [n for n in os.listdir(context.folder) if n.endswith('.tmp')]
+
+
+@behave.then('a second process can not use the folder')
+def _(context):
+    try:
+        disk.Disk(context.folder)
+    except faults.DiskFault:
+        return
+    raise AssertionError('it was taken twice')
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -56,6 +56,10 @@
         self.asks = {}
         self.ask_no = 0
 
+    def figures(self):
+        """The host's own counts, where it keeps any."""
+        return {}
+
     # -- what leaves ------------------------------------------------------
 
     def tell(self, addr, kind, **body):
@@ -335,7 +339,7 @@
                 'http': self.place.http, 'cluster': self.cluster, 'mode': self.mode, 'term': self.term,
                 'master': self.master, 'accepted': list(self.rep.accepted),
                 'generation': list(self.rep.committed), 'lease_ms': max(0, seam.to_ms(self.lease_left())),
-                'partners': len(self.known)}
+                'partners': len(self.known), 'host': self.figures()}
 
 
 def place_of(cells, cell):
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import resource
 import time
 
 from absl import logging
@@ -31,6 +32,13 @@
         self.call_at = None
         self.ended = False
         self.stats = collections.Counter()
+        machine.figures = self.figures
+
+    def figures(self):
+        """What only the host knows, for the status pages."""
+        return {**self.stats, 'opened': self.fetcher.by_number.opened, 'frames': self.links.sent_frames,
+                'bytes': self.links.sent_bytes, 'kinds': dict(self.links.sent_kinds),
+                'rss_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
 
     def start(self):
         place = self.machine.place
--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -127,8 +127,11 @@
 
     def __init__(self, reactor):
         self.reactor = reactor
+        self.opened = 0
 
     def endpointForURI(self, uri):
+        # Why counted: new connections are costly where requests are many.
+        self.opened += 1
         return endpoints.TCP4ClientEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=1)
 
 
@@ -138,7 +141,7 @@
     def __init__(self, reactor):
         self.reactor = reactor
         self.pools = {}
-        self.opened = 0
+        self.by_number = ByNumber(reactor)
 
     def _agent(self, key):
         if key not in self.pools:
@@ -148,7 +151,7 @@
             pool.maxPersistentPerHost = 64
             # Why below the server's: the side that reuses must give up first.
             pool.cachedConnectionTimeout = IDLE / 2
-            agent = client.Agent.usingEndpointFactory(self.reactor, ByNumber(self.reactor), pool)
+            agent = client.Agent.usingEndpointFactory(self.reactor, self.by_number, pool)
             self.pools[key] = (pool, agent)
         return self.pools[key][1]
 
--- a/zinctrail/fleet.py
+++ b/zinctrail/fleet.py
@@ -281,6 +281,28 @@
             return reply
         return d.addCallback(done)
 
+    def figures(self):
+        """Counts of all processes as they are now; those of ended ones are lost."""
+        out, rss = collections.Counter(), collections.defaultdict(int)
+        for p in self.procs.values():
+            s = ask(p.http, 'GET', '/v1/self')[1].get('state')
+            if s is None:
+                continue
+            h, c = s['host'], s.get('counts', {})
+            rss[p.role] = max(rss[p.role], h['rss_kb'])
+            out['stalls'] += h.get('stalls', 0)
+            out['broke'] += h.get('broke', 0)
+            out['frames'] += h['frames']
+            out['bytes'] += h['bytes']
+            if p.role == 'prox':
+                out['sends'] += c.get('sends', 0)
+                out['connections'] += h['opened']
+            if p.role == 'core':
+                out['syncs'] += h.get('writes', 0)
+                out['probes'] += c.get('probes', 0)
+                out['generations'] += c.get('generations', 0)
+        return {**out, 'most_rss_mb': {r: n >> 10 for r, n in rss.items()}}
+
     def report(self):
         twice = sum(1 for n in self.ran_once.values() if n > 1)
         return {**self.counts, 'ran_ids': len(self.ran), 'ran_twice': twice}
--- a/zinctrail/prog/ztfleet.py
+++ b/zinctrail/prog/ztfleet.py
@@ -51,7 +51,7 @@
     folder = FLAGS.folder or tempfile.mkdtemp(prefix='ztfleet-')
     rng = random.Random(FLAGS.seed)
     f = fleet.Fleet(shape(), folder, reactor, FLAGS.pass_flags)
-    code = []
+    code, loop = [], []
 
     def say(text):
         print(text, flush=True)
@@ -59,7 +59,7 @@
     def up(_):
         f.start_endpoints(rng)
         if f.shape['rate']:
-            f.start_callers(rng)
+            loop.append(f.start_callers(rng))
         say(json.dumps(f.where(), indent=1))
         say('ready')
         reactor.callLater(5, tell)
@@ -73,7 +73,12 @@
     def end(*_):
         if not f.stopping:
             f.stopping = True
-            threads.deferToThread(f.stop).addBoth(lambda _: reactor.stop())
+            for calls in loop:
+                # Why first: what is asked while all ends would only be unknown.
+                calls.stop()
+            d = threads.deferToThread(f.figures)
+            d.addCallback(lambda got: say(json.dumps({'figures': got})))
+            d.addBoth(lambda _: threads.deferToThread(f.stop)).addBoth(lambda _: reactor.stop())
 
     def broke(reason):
         print(f'ztfleet: {reason.getErrorMessage()}', file=sys.stderr)
