--- a/zinctrail/bench.py
+++ b/zinctrail/bench.py
@@ -3,12 +3,14 @@
   python -m zinctrail.bench gap [SEEDS]      master killed: time to the next generation in force (virtual)
   python -m zinctrail.bench bytes [SHAPE]    bytes published for one change (virtual network)
   python -m zinctrail.bench claims [N]       claims a second by number waiting at once, one real core of three
-  python -m zinctrail.bench fleet [N]        a real fleet: requests, then the gap after N killed masters
+  python -m zinctrail.bench fleet [N]        a real fleet: requests, the gap after N killed masters,
+                                             service after N times everything was killed
+  python -m zinctrail.bench rolling          every process restarted in turn with all seeds swapped, under load
 """
 
 import json
 import random
-import statistics
+import signal
 import sys
 import tempfile
 import threading
@@ -167,24 +169,67 @@
             old.start()
             time.sleep(4)
         out['gap_ms'] = spread(gaps)
+        back = []
+        for _ in range(kills):
+            for p in f.procs.values():
+                p.kill()
+            for p in f.procs.values():
+                p.start()
+            began, ran = time.monotonic(), len(f.ran)
+            # Why some: one that was on its way when all ended must not pass for service.
+            f.until(lambda: len(f.ran) > ran + 5, 'service')
+            back.append((time.monotonic() - began) * 1000)
+            time.sleep(6)
+        out['back_over_15_s'] = [round(b / 15000, 2) for b in sorted(back)]
         out['all'] = f.report()
         return out
     finally:
         f.stop()
 
 
+def rolling():
+    """operate/restart.md and the swap of all seeds, as written, on a real fleet under load."""
+    f = fleet.Fleet(fleet.PRESETS['small'], tempfile.mkdtemp(), reactor)
+    try:
+        f.start()
+        f.configure()
+        threads.blockingCallFromThread(reactor, f.start_endpoints, random.Random(1))
+        time.sleep(3)
+        threads.blockingCallFromThread(reactor, lambda: f.start_callers(random.Random(2)) and None)
+        seeds = [f.procs[n].addr for n in ('core2', 'prox1', 'dir2')]
+        for p in f.procs.values():
+            p.seeds = seeds
+        order = f.of('dir') + f.of('prox') + f.of('core')
+        last = f.master()
+        codes = []
+        for p in sorted(order, key=lambda p: p is last):
+            p.signal(signal.SIGTERM)
+            codes.append(p.pop.wait(60))
+            p.start()
+            f.until(lambda: ask_ready(p), f'{p.name} to be ready')
+        time.sleep(2)
+        return {'restarted': len(codes), 'codes': sorted(set(codes)), **f.report()}
+    finally:
+        f.stop()
+
+
+def ask_ready(p):
+    return fleet.ask(p.http, 'GET', '/v1/ready')[0] == 200
+
+
 def main(argv):
     if not argv or argv[0] not in BENCHES:
         print(__doc__.strip())
         return 0 if argv[:1] == ['--help'] else 2
     fn, kind = BENCHES[argv[0]]
-    if argv[0] in ('claims', 'fleet'):
+    if argv[0] in ('claims', 'fleet', 'rolling'):
         threading.Thread(target=reactor.run, kwargs={'installSignalHandlers': False}, daemon=True).start()
     print(json.dumps(fn(*[kind(a) for a in argv[1:2]]), indent=1))
     return 0
 
 
-BENCHES = {'gap': (gap, int), 'bytes': (bytes_per_change, str), 'claims': (claims, int), 'fleet': (real, int)}
+BENCHES = {'gap': (gap, int), 'bytes': (bytes_per_change, str), 'claims': (claims, int), 'fleet': (real, int),
+           'rolling': (rolling, str)}
 
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
