Two tables of the proxy bounded: repeat windows, questions to claim holders

Windows were kept by the service in the caller's path, which a rule without a service match lets anybody vary; a holder that never answered left its question behind for good.

--- a/zinctrail/data/passes.py
+++ b/zinctrail/data/passes.py
@@ -169,7 +169,7 @@
     """Caller's repeats and ours come out of one bound."""
     if rec.counted:
         return GO
-    window = prox.window(rec.service)
+    window = prox.window(rec.pool)
     if rec.attempt > 1 or rec.sends:
         if not window.allow(prox.now, prox.sharers.count(prox.now)):
             prox.counts['repeats_dropped'] += 1
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -454,11 +454,17 @@
                 self.drop(rec, passes.Drop(504, 'the outcome did not come in time', passes.UNKNOWN))
             elif not rec.parked and rec.fid in self.fetches:
                 self.drop(rec, passes.Drop(504, 'no reply in time', passes.UNKNOWN))
+        # Why here: a holder that never answers must not leave its question behind.
+        self.asks_kept = {k: r for k, r in self.asks_kept.items() if r.rid in self.table}
         times = [r.until for r in self.table.values() if r.until and r.until > self.now]
         if times:
             self.alarm_at('late', min(times))
 
-    def window(self, service):
+    def window(self, pool):
+        # Why the pool's service: names out of callers' paths would grow without end.
+        row = self.rep.get('conf', f'pools/{pool}')
+        # Why the pool's own name else: it may have been taken away while the claim was under way.
+        service = row['service'] if row else pool
         return self.windows.setdefault(service, repeats.Window(self.bounds))
 
     def elsewhere(self, home):
