Simplify: dead settings and names go, twins share one piece

Left as they are: checkers of the same shape judge different notes, the applications' loops different calls.

--- a/features/steps/sim_steps.py
+++ b/features/steps/sim_steps.py
@@ -3,7 +3,6 @@
 import behave
 
 import zinctrail.agree.partner as partner
-import zinctrail.fleet as fleet
 import zinctrail.seam as seam
 import zinctrail.sim.cast as cast
 import zinctrail.sim.world as world
@@ -46,6 +45,14 @@
             w.after(delay(n) + ms(w.rng.uniform(0, 200)), n.start)
 
 
+def start_apart(context, w):
+    """Start while cut as the caller cut it, then heal."""
+    start_all(w)
+    context.boot.run(w, ms(15000))
+    w.heal()
+    context.boot.run(w, ms(15000))
+
+
 @behave.given('{cores:d} cores and {dirs:d} directories whose seeds are {seeds}')
 def _(context, cores, dirs, seeds):
     context.boot = Boot(cores, dirs, seeds.split(','))
@@ -66,10 +73,7 @@
             for b in w.nodes:
                 if b not in group:
                     w.cut(a, b)
-        start_all(w)
-        context.boot.run(w, ms(15000))
-        w.heal()
-        context.boot.run(w, ms(15000))
+        start_apart(context, w)
 
 
 @behave.when('they first start with cores cut in halves that both see dir0')
@@ -78,20 +82,14 @@
         for i in range(3):
             for j in range(3, 6):
                 w.cut(f'core{i}', f'core{j}')
-        start_all(w)
-        context.boot.run(w, ms(15000))
-        w.heal()
-        context.boot.run(w, ms(15000))
+        start_apart(context, w)
 
 
 @behave.when('they first start with core0 seeing nobody for a while')
 def _(context):
     for w in context.boot.worlds:
         w.isolate('core0')
-        start_all(w)
-        context.boot.run(w, ms(15000))
-        w.heal()
-        context.boot.run(w, ms(15000))
+        start_apart(context, w)
 
 
 @behave.when('they first start with {group} twenty seconds late')
@@ -233,7 +231,3 @@
         vc = m.rep.get('meta', 'vc')
         regions = [partner.place_of(m.rep.get('cells'), m.rep.get('members')[n]['cell']) for n in vc['accepted']]
         assert len(regions) == 5 and max(regions.count(r) for r in regions) == 2, (w.seed, vc, regions)
-
-
-def small(**more):
-    return dict(fleet.PRESETS['small'], **more)
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -45,7 +45,6 @@
         self.term = 0
         self.rep = replica.Replica()
         self.master = None
-        self.heard = seam.ZERO
         self.mode = 'candidate'
         self.known = {}
         self.refused = set()
@@ -203,7 +202,6 @@
             self.acks.clear()
             self.log(f'Follows {env["f"]} in term {self.term}.')
             self.followed()
-        self.heard = self.now
         self.alarm('lead', self.bounds.check * self.bounds.misses)
         return True
 
--- a/zinctrail/agree/replica.py
+++ b/zinctrail/agree/replica.py
@@ -6,7 +6,6 @@
 
 # Why two parts: every ztdir and ztprox needs the routes; only voters need the rest.
 ROUTES = ('meta', 'conf', 'cells', 'endpoints', 'members', 'duties')
-COORD = ('claims', 'locks', 'numbers', 'keys', 'events', 'done')
 
 
 def fold(tables, rows):
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -324,7 +324,7 @@
             return
         if self.rep.accepted == (0, 1) and not replica.quorum(self.boots or (), self.rep.latest('meta', 'boot')):
             return
-        if self.voted_at is not None and self.now - self.voted_at < self.bounds.elect:
+        if self.just_voted():
             self.plan_election()
             return
         self.tries += 1
@@ -335,11 +335,14 @@
         self.count_prevotes()
         self.plan_election()
 
+    def just_voted(self):
+        return self.voted_at is not None and self.now - self.voted_at < self.bounds.elect
+
     def m_prevote(self, env):
         # Why: while somebody leads, a returning node must not unseat them.
         # Why also just after a vote: whom we voted for may lead already and not have reached us yet.
         active = (self.mode == 'leader' or (self.mode == 'follower' and self.master['id'] != env['f'])
-                  or (self.voted_at is not None and self.now - self.voted_at < self.bounds.elect))
+                  or self.just_voted())
         if active or self.rep.accepted == (0, 0):
             return
         self.tell(env['a'], 'prevote_re', term=self.term, accepted=self.rep.accepted)
--- a/zinctrail/bench.py
+++ b/zinctrail/bench.py
@@ -8,6 +8,7 @@
   python -m zinctrail.bench rolling          every process restarted in turn with all seeds swapped, under load
 """
 
+import contextlib
 import json
 import random
 import signal
@@ -149,7 +150,9 @@
     return out
 
 
-def real(kills=5):
+@contextlib.contextmanager
+def loaded():
+    """A small real fleet with endpoints and callers."""
     f = fleet.Fleet(fleet.PRESETS['small'], tempfile.mkdtemp(), reactor)
     try:
         f.start()
@@ -157,6 +160,13 @@
         threads.blockingCallFromThread(reactor, f.start_endpoints, random.Random(1))
         time.sleep(3)
         threads.blockingCallFromThread(reactor, lambda: f.start_callers(random.Random(2)) and None)
+        yield f
+    finally:
+        f.stop()
+
+
+def real(kills=5):
+    with loaded() as f:
         time.sleep(10)
         out = {'calm': dict(f.counts), 'waits_ms': fleet.spread(f.waits)}
         gaps = []
@@ -183,19 +193,11 @@
         out['back_over_15_s'] = [round(b / 15000, 2) for b in sorted(back)]
         out['all'] = f.report()
         return out
-    finally:
-        f.stop()
 
 
 def rolling():
     """operate/restart.md and the swap of all seeds, as written, on a real fleet under load."""
-    f = fleet.Fleet(fleet.PRESETS['small'], tempfile.mkdtemp(), reactor)
-    try:
-        f.start()
-        f.configure()
-        threads.blockingCallFromThread(reactor, f.start_endpoints, random.Random(1))
-        time.sleep(3)
-        threads.blockingCallFromThread(reactor, lambda: f.start_callers(random.Random(2)) and None)
+    with loaded() as f:
         seeds = [f.procs[n].addr for n in ('core2', 'prox1', 'dir2')]
         for p in f.procs.values():
             p.seeds = seeds
@@ -209,8 +211,6 @@
             f.until(lambda: ask_ready(p), f'{p.name} to be ready')
         time.sleep(2)
         return {'restarted': len(codes), 'codes': sorted(set(codes)), **f.report()}
-    finally:
-        f.stop()
 
 
 def ask_ready(p):
--- a/zinctrail/bounds.py
+++ b/zinctrail/bounds.py
@@ -3,7 +3,6 @@
 import dataclasses
 import datetime
 
-import zinctrail.faults as faults
 import zinctrail.seam as seam
 
 ms = seam.ms
@@ -31,7 +30,6 @@
     repeat_share: float = 0.2
     repeat_allowance: int = 24
     call: datetime.timedelta = ms(3000)
-    history: datetime.timedelta = ms(60000)
     checkpoint_every: int = 256
     queue_most: int = 512
     body_most: int = 1 << 20
@@ -59,9 +57,3 @@
         if self.repeat_share > 0.2:
             out.append(('repeat_share', 'above a fifth'))
         return out
-
-    def check_all(self):
-        bad = self.faults()
-        if bad:
-            raise faults.SettingFault('; '.join(f'{n}: {t}' for n, t in bad))
-        return self
--- a/zinctrail/ctl/policy.py
+++ b/zinctrail/ctl/policy.py
@@ -21,12 +21,12 @@
 BOX = '''
 local source, steps = ...
 -- Why taken away before anything is loaded: these reach files, code, or run unbounded inside C.
-local sethook, load, setup = debug.sethook, load, nil
+local sethook = debug.sethook
 local env = {math = math, ipairs = ipairs, pairs = pairs, tonumber = tonumber, tostring = tostring,
              type = type, select = select, next = next,
              string = {len = string.len, sub = string.sub, byte = string.byte, lower = string.lower,
                        upper = string.upper},
-             table = {insert = table.insert, remove = table.remove, sort = nil}}
+             table = {insert = table.insert, remove = table.remove}}
 getmetatable('').__index = env.string
 math.random, math.randomseed = nil, nil
 local chunk, why = load(source, 'policy', 't', env)
--- a/zinctrail/faults.py
+++ b/zinctrail/faults.py
@@ -5,22 +5,10 @@
     """Anything zinctrail says went wrong."""
 
 
-class ConfigFault(Fault):
-    """An operator's document is invalid; `faults` lists every (path, text)."""
-
-    def __init__(self, faults):
-        super().__init__('; '.join(f'{path}: {text}' for path, text in faults))
-        self.faults = list(faults)
-
-
 class SettingFault(Fault):
     """A flag or flagfile value is unusable."""
 
 
-class AgreeFault(Fault):
-    """The agreement layer refused something."""
-
-
 class DiskFault(Fault):
     """A write did not reach the disk."""
 
@@ -29,10 +17,6 @@
     """Something once acknowledged can no longer be read back whole."""
 
 
-class WireFault(Fault):
-    """A frame from a partner can't be used."""
-
-
 class CallFault(Fault):
     """A call over HTTP was malformed; `status` is what the caller is told."""
 
--- a/zinctrail/req/requester.py
+++ b/zinctrail/req/requester.py
@@ -43,7 +43,6 @@
         self.rng = rng or random.SystemRandom()
         self.answer = None
         self.until = seam.ZERO
-        self.asking = None
         self.turn = 0
 
     def now(self):
--- a/zinctrail/sim/cast.py
+++ b/zinctrail/sim/cast.py
@@ -55,8 +55,6 @@
         self.lose, self.garble, self.cut_short, self.misroute = 0.0, 0.0, 0.0, 0.0
         self.beats = beats
         self.last_body = b''
-        self.gone_at = None
-        self.probes = 0
 
     def start(self):
         self.life += 1
@@ -113,7 +111,6 @@
 
     def call(self, call, back):
         if call.path == '/zt/live':
-            self.probes += 1
             back(seam.Fetched(*self.serving.live()))
             return
         h = call.headers
@@ -297,7 +294,7 @@
 class App:
     """An application that leans on locks, numbers, keys and watches, by the real library."""
 
-    def __init__(self, cast, name, cell, every=ms(200), lease=ms(3000), margin=True):
+    def __init__(self, cast, name, cell, every=ms(200), lease=ms(3000)):
         self.cast, self.world, self.name, self.every = cast, cast.world, name, every
         self.rng = random.Random(f'{self.world.seed}/{name}')
         dirs = [d.place.http for d in self.world.of('dir')]
