--- /dev/null
+++ b/zinctrail/agree/journal.py
@@ -0,0 +1,69 @@
+"""How a voter's memory is laid out on disk, without touching one.
+
+  node          who this is
+  term          current term and vote
+  ckpt-G-T      everything, as of generation G accepted in term T
+  gen-G-T       the rows of one generation, and the (term, generation) it builds on
+
+Every file is one line: a CRC-32, a space, JSON.
+"""
+
+import json
+import zlib
+
+import zinctrail.agree.replica as replica
+import zinctrail.faults as faults
+
+
+def enc(doc):
+    text = json.dumps(doc, separators=(',', ':'), sort_keys=True)
+    return f'{zlib.crc32(text.encode()):08x} {text}'
+
+
+def dec(name, text):
+    try:
+        crc, body = text.split(' ', 1)
+        if int(crc, 16) != zlib.crc32(body.encode()):
+            raise ValueError('checksum')
+        return json.loads(body)
+    except ValueError as e:
+        raise faults.DamageFault(f'{name}: {e}') from e
+
+
+def gen_name(at):
+    return f'gen-{at[1]:016d}-{at[0]:08d}'
+
+
+def ckpt_name(at):
+    return f'ckpt-{at[1]:016d}-{at[0]:08d}'
+
+
+def load(files):
+    """files: {name: text} -> (node id, cluster, term, vote, replica) or DamageFault."""
+    rep = replica.Replica()
+    if 'node' not in files:
+        # Why: without its id nothing else in the folder can be vouched for.
+        if any(n.startswith(('gen-', 'ckpt-')) or n == 'term' for n in files):
+            raise faults.DamageFault('node: missing beside acknowledged files')
+        return None, '', 0, None, rep
+    node = dec('node', files['node'])
+    docs = {n: dec(n, t) for n, t in files.items() if n.startswith(('gen-', 'ckpt-'))}
+    term = dec('term', files['term']) if 'term' in files else {'term': 0, 'vote': None}
+    tops = [(d['term'], d['gen']) for n, d in docs.items() if n.startswith('ckpt-')]
+    if tops:
+        at = max(tops)
+        rep.accept(at, full=docs[ckpt_name(at)]['tables'])
+    nexts = {}
+    for n, d in docs.items():
+        if n.startswith('gen-'):
+            base, at = tuple(d['base']), (d['term'], d['gen'])
+            nexts[base] = max(nexts.get(base, at), at)
+    while rep.accepted in nexts:
+        at = nexts[rep.accepted]
+        rep.accept(at, rows=docs[gen_name(at)]['rows'])
+    newest = max([(d['term'], d['gen']) for d in docs.values()], default=(0, 0))
+    # Why: a hole in the chain means something acknowledged is gone.
+    if rep.accepted < newest or (newest > (0, 0) and 'term' not in files) or newest[0] > term['term']:
+        raise faults.DamageFault(f'chain ends at {rep.accepted}, newest file is {newest}')
+    cluster = rep.latest('meta', 'cluster') or ''
+    return node['id'], cluster, term['term'], term['vote'], rep
--- /dev/null
+++ b/zinctrail/agree/partner.py
@@ -0,0 +1,336 @@
+"""What every process does as a partner: finding the others, following a master, holding a lease.
+
+Roles differ in what they add: agree.voter adds elections and mastership,
+dir.daemon and data.proxy act on the routes they are given.
+"""
+
+import collections
+import dataclasses
+import datetime
+import uuid
+
+import zinctrail
+import zinctrail.agree.replica as replica
+import zinctrail.bounds as bounds_
+import zinctrail.seam as seam
+
+
+@dataclasses.dataclass
+class Place:
+    """Where a process stands: all it is told from outside."""
+    addr: str
+    http: str
+    cell: str
+    seeds: list
+
+
+def tup(pair):
+    return tuple(pair) if pair else (0, 0)
+
+
+class Partner(seam.Machine):
+    role = ''
+    prefix = 'partner'
+    # Why: in the simulator a handler that breaks is our bug; outside, it may be a partner's frame.
+    strict = False
+
+    def __init__(self, place: Place, bounds: bounds_.Bounds, rng, node: str = ''):
+        super().__init__(rng)
+        self.place = place
+        self.bounds = bounds
+        # Why minted at start: a process that comes back without memory is somebody new.
+        self.node = node or uuid.UUID(int=rng.getrandbits(128), version=4).hex[:16]
+        self.cluster = ''
+        self.term = 0
+        self.rep = replica.Replica()
+        self.master = None
+        self.heard = seam.ZERO
+        self.mode = 'candidate'
+        self.known = {}
+        self.refused = set()
+        self.acks = collections.OrderedDict()
+        self.lease_until = None
+        self.stopping = False
+        self.finds = 0
+        self.asks = {}
+        self.ask_no = 0
+
+    # -- what leaves ------------------------------------------------------
+
+    def tell(self, addr, kind, **body):
+        body.update(t=kind, v=zinctrail.WIRE_LEVEL, c=self.cluster, f=self.node, a=self.place.addr)
+        self.send(addr, body)
+
+    def member(self):
+        return {'role': self.role, 'addr': self.place.addr, 'http': self.place.http,
+                'cell': self.place.cell, 'level': zinctrail.WIRE_LEVEL}
+
+    # -- inputs -----------------------------------------------------------
+
+    def on_start(self):
+        self.log(f'Starts as {self.node} at {self.place.addr}.')
+        self.alarm('find', seam.ZERO)
+
+    def on_recv(self, env):
+        kind, frm, cluster = env.get('t'), env.get('f'), env.get('c', '')
+        handler = getattr(self, f'm_{kind}', None)
+        # Why all checked here: an unreadable or foreign frame must leave the process serving.
+        if handler is None or not isinstance(frm, str) or not isinstance(env.get('a'), str):
+            self.log(f'Frame of no known kind {kind!r} left unread.')
+            return
+        if abs(env.get('v', 0) - zinctrail.WIRE_LEVEL) > 1:
+            self._refuse(env, 'wire level')
+            return
+        if cluster and self.cluster and cluster != self.cluster:
+            self._refuse(env, 'cluster')
+            return
+        if frm == self.node:
+            return
+        try:
+            handler(env)
+        except (KeyError, TypeError, ValueError, AttributeError) as e:
+            if self.strict:
+                raise
+            self.log(f'Frame {kind!r} of {env["a"]} can not be used: {type(e).__name__} {e}.')
+
+    def _refuse(self, env, what):
+        key = (env.get('a'), env.get('c'))
+        if key not in self.refused:
+            # Why a cap: strangers must not be able to fill memory.
+            if len(self.refused) > 1000:
+                self.refused.clear()
+            self.refused.add(key)
+            self.log(f'Partner {env.get("a")} refused: other {what}.')
+
+    def on_lost(self, addr):
+        # Why at once: a closed connection says more than three missed checks.
+        if self.master and self.master['addr'] == addr and self.mode == 'follower':
+            self.lose_master('disconnected')
+
+    def on_stop(self):
+        """Asked to end: leave so that nobody needs to notice."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log('Leaves.')
+        if self.master:
+            self.tell(self.master['addr'], 'leave')
+        self.alarm('exit', self.leave_wait())
+
+    def leave_wait(self):
+        return seam.ms(200)
+
+    def alarm_exit(self):
+        self.out.append(seam.Exit(0))
+
+    # -- finding ----------------------------------------------------------
+
+    def remember(self, addr, node='', role='', seen=False):
+        if addr == self.place.addr:
+            return
+        k = self.known.setdefault(addr, {'id': node, 'role': role, 'at': None, 'since': self.now})
+        if node and k['id'] != node:
+            k.update(id=node, at=None)
+        if role:
+            k['role'] = role
+        if seen:
+            k['at'] = k['since'] = self.now
+
+    def alarm_find(self):
+        self.alarm('find', self.bounds.probe)
+        self.finds += 1
+        for addr in self.find_targets():
+            self.tell(addr, 'probe', member=self.member(), **self.find_extra())
+        old = self.now - self.bounds.remember
+        here = {m['addr'] for m in self.rep.get('members').values()}
+        for addr in [a for a, k in self.known.items() if k['since'] < old and a not in here]:
+            del self.known[addr]
+
+    def find_targets(self):
+        if self.mode != 'candidate':
+            return []
+        # Why not everybody every time: control nodes lead to the master, the rest only to them.
+        out = {a for a, k in self.known.items() if k['role'] == 'core' or self.finds % 5 == 0}
+        return sorted((out | set(self.place.seeds)) - {self.place.addr})
+
+    def find_extra(self):
+        return {}
+
+    def m_probe(self, env):
+        m = env['member']
+        self.remember(env['a'], env['f'], m['role'], seen=True)
+        limit = self.now - self.bounds.probe * 3
+        cores = [[a, k['id'], k['at'] >= limit] for a, k in self.known.items()
+                 if k['role'] == 'core' and k['at'] is not None]
+        self.tell(env['a'], 'probe_re', member=self.member(), term=self.term, master=self.master,
+                  partners=sorted(cores), seeds=self.place.seeds, **self.find_extra())
+
+    def m_probe_re(self, env):
+        self.remember(env['a'], env['f'], env['member']['role'], seen=True)
+        for addr, node, _ in env['partners']:
+            self.remember(addr, node, 'core')
+        for addr in env['seeds']:
+            self.remember(addr)
+        master = env['master']
+        if self.mode == 'candidate' and master and master['id'] != self.node and self.can_join():
+            self.tell(master['addr'], 'join', member=self.member(), accepted=self.rep.accepted, term=self.term)
+
+    def can_join(self):
+        return not self.stopping
+
+    # -- following --------------------------------------------------------
+
+    def raise_term(self, term, vote=None):
+        self.term = term
+
+    def follow(self, env):
+        """Whether the sender is master of a term that is not behind ours."""
+        if env['term'] < self.term:
+            return False
+        if env['term'] > self.term:
+            self.raise_term(env['term'], env['f'])
+        if not self.master or self.master['id'] != env['f'] or self.mode != 'follower':
+            self.mode = 'follower'
+            self.master = {'id': env['f'], 'addr': env['a'], 'http': env.get('http', '')}
+            self.acks.clear()
+            self.log(f'Follows {env["f"]} in term {self.term}.')
+            self.followed()
+        self.heard = self.now
+        self.alarm('lead', self.bounds.check * self.bounds.misses)
+        return True
+
+    def followed(self):
+        self.retry_asks()
+
+    def m_chk(self, env):
+        if not self.follow(env):
+            self.tell(env['a'], 'chk_re', term=self.term, round=env['round'], no=True)
+            return
+        # Why kept: a lease is counted from our own stamp, so a grant late on the wire can't stretch it.
+        self.acks[env['round']] = self.now
+        while len(self.acks) > 32:
+            self.acks.popitem(last=False)
+        self.tell(env['a'], 'chk_re', term=self.term, round=env['round'],
+                  accepted=self.rep.accepted, committed=self.rep.committed)
+
+    def m_grant(self, env):
+        at = self.acks.get(env['ack'])
+        if env['term'] == self.term and self.master and self.master['id'] == env['f'] and at is not None:
+            until = at + self.bounds.lease
+            if self.lease_until is None or until > self.lease_until:
+                self.lease_until = until
+
+    def leased(self):
+        """Whether what we know may be acted on now."""
+        return self.lease_until is not None and self.now < self.lease_until
+
+    def lease_left(self):
+        return self.lease_until - self.now if self.leased() else seam.ZERO
+
+    def alarm_lead(self):
+        self.lose_master('silent')
+
+    def lose_master(self, why):
+        self.log(f'Lost master {self.master["id"] if self.master else "?"}: {why}.')
+        self.master = None
+        self.mode = 'candidate'
+        self.alarms.pop('lead', None)
+        self.alarm('find', seam.ZERO)
+
+    # -- publications -----------------------------------------------------
+
+    def m_pub(self, env):
+        if not self.follow(env):
+            self.tell(env['a'], 'pub_re', term=self.term, at=env['at'], ok=False)
+            return
+        at, base, full = tup(env['at']), tup(env.get('base')), env.get('full')
+        if self.rep.accepted == at:
+            ok = True
+        elif self.rep.fits(at, base, full is not None):
+            self.cluster = self.cluster or env['c']
+            self.rep.accept(at, rows=env.get('rows'), full=full)
+            self.keep(at, base, env.get('rows'), full)
+            ok = True
+        else:
+            ok = False
+        self.tell(env['a'], 'pub_re', term=self.term, at=at, ok=ok, accepted=self.rep.accepted)
+
+    def keep(self, at, base, rows, full):
+        """Voters make it durable; nobody else has a disk."""
+
+    def m_com(self, env):
+        if not self.follow(env):
+            return
+        at = tup(env['at'])
+        if self.rep.accepted == at:
+            if self.rep.committed != at:
+                self.took(self.rep.commit(at))
+            self.tell(env['a'], 'com_re', term=self.term, at=at)
+
+    def took(self, rows):
+        """Rows came into force (None: all of them)."""
+        if rows is None or any(r[0] == 'members' for r in rows):
+            for node, m in self.rep.get('members').items():
+                self.remember(m['addr'], node, m['role'])
+        self.applied(rows)
+
+    def applied(self, rows):
+        """For the role."""
+
+    # -- asking the master ------------------------------------------------
+
+    def ask(self, op, args, cb, wait=None):
+        """Have the master do `op`; cb(result) with a status, once, whatever happens."""
+        self.ask_no += 1
+        key = f'{self.node}.{self.ask_no}'
+        self.asks[key] = [op, args, cb, self.now + (wait or self.bounds.call), seam.ZERO]
+        self._put_ask(key)
+        self.alarm_asks()
+
+    def _put_ask(self, key):
+        op, args, _, _, _ = self.asks[key]
+        if self.master:
+            self.asks[key][4] = self.now
+            self.tell(self.master['addr'], 'ask', key=key, op=op, args=args)
+
+    def retry_asks(self):
+        # Why safe to put again: every op that acts carries an id the master knows it by.
+        for key in list(self.asks):
+            self._put_ask(key)
+
+    def alarm_asks(self):
+        for key in [k for k, a in self.asks.items() if a[3] <= self.now]:
+            self.asks.pop(key)[2]({'status': 504, 'unknown': True, 'fault': 'no outcome from the master in time'})
+        for key, a in self.asks.items():
+            if self.now - a[4] > seam.ms(500):
+                self._put_ask(key)
+        if self.asks:
+            self.alarm('asks', seam.ms(100))
+
+    def m_ask_re(self, env):
+        a = self.asks.get(env['key'])
+        if a is None:
+            return
+        if env['result'].get('status') == 421:
+            # Why wait: it is no master (any more); the next one is asked when we follow it.
+            return
+        del self.asks[env['key']]
+        a[2](env['result'])
+
+    # -- shared by the status pages ---------------------------------------
+
+    def status(self):
+        return {'id': self.node, 'role': self.role, 'cell': self.place.cell, 'addr': self.place.addr,
+                'http': self.place.http, 'cluster': self.cluster, 'mode': self.mode, 'term': self.term,
+                'master': self.master, 'accepted': list(self.rep.accepted),
+                'generation': list(self.rep.committed), 'lease_ms': max(0, seam.to_ms(self.lease_left())),
+                'partners': len(self.known)}
+
+
+def place_of(cells, cell):
+    """The region a cell lies in: as configured, else what its name says before a slash."""
+    return (cells.get(cell) or {}).get('region') or cell.split('/')[0]
+
+
+def age(now: datetime.timedelta, at) -> int:
+    return seam.to_ms(now - at) if at is not None else -1
--- /dev/null
+++ b/zinctrail/agree/voter.py
@@ -0,0 +1,902 @@
+"""The control nodes' agreement: terms, votes, publication, voting sets, bootstrap.
+
+Follows PAPER-elasticsearch-distributed-arch-c3d8.md as fixed by
+DESIGN-zinctrail.md; docs/design.md lists what differs and why.
+"""
+
+import collections
+import uuid
+
+import zinctrail.agree.journal as journal
+import zinctrail.agree.partner as partner
+import zinctrail.agree.replica as replica
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+tup = partner.tup
+NO_MASTER = {'status': 421, 'fault': 'not the master'}
+LOST = {'status': 504, 'unknown': True, 'fault': 'the master changed before the outcome was known'}
+
+
+class Txn:
+    """One generation being computed: reads see what it wrote so far."""
+
+    def __init__(self, rep, at, now):
+        self.rep = rep
+        self.at = at
+        self.gen = at[1]
+        self.now = now
+        self.new = {}
+        self.trail = None
+
+    def get(self, table, key):
+        if (table, key) in self.new:
+            return self.new[table, key]
+        return self.rep.get(table, key)
+
+    def put(self, table, key, val):
+        if self.get(table, key) != val:
+            if self.trail is not None:
+                self.trail.append(((table, key), (table, key) in self.new, self.new.get((table, key))))
+            self.new[table, key] = val
+
+    def drop(self, table, key):
+        self.put(table, key, None)
+
+    def items(self, table):
+        rows = dict(self.rep.get(table))
+        for (t, k), val in self.new.items():
+            if t == table:
+                rows[k] = val
+        return {k: v for k, v in rows.items() if v is not None}
+
+    def run(self, fn):
+        """One task within the generation; a task that faults leaves nothing behind."""
+        self.trail = []
+        try:
+            return fn(self)
+        except faults.CallFault as e:
+            for key, had, old in reversed(self.trail):
+                if had:
+                    self.new[key] = old
+                else:
+                    del self.new[key]
+            return {'status': e.status, 'fault': str(e), **e.more}
+        finally:
+            self.trail = None
+
+    def rows(self):
+        return [[t, k, v] for (t, k), v in self.new.items() if self.rep.get(t, k) != v]
+
+
+class Peer:
+    """A member as the master sees it."""
+
+    def __init__(self, node, row, now):
+        self.node = node
+        self.addr = row['addr']
+        self.role = row['role']
+        self.accepted = None
+        self.committed = (0, 0)
+        self.acked = 0
+        self.ack_at = now
+        self.offered = seam.ZERO
+
+
+class Voter(partner.Partner):
+    role = 'core'
+    prefix = 'core'
+
+    def __init__(self, place, bounds, rng, files=None):
+        node, cluster, term, vote, rep = journal.load(files or {})
+        super().__init__(place, bounds, rng, node or '')
+        self.fresh = node is None
+        self.files = set(files or {})
+        self.cluster = cluster
+        self.term = term
+        self.vote = vote
+        self.rep = rep
+        # Why: nothing is known to be in force until a master says so.
+        rep.full_unsaid = True
+        self.unfit = False
+        self.since_ckpt = 0
+        self.tries = 0
+        self.prevotes = None
+        self.votes = None
+        self.views = {}
+        self.boot_seen = None
+        self.boot_rounds = 0
+        self.boots = None
+        self.pushes = 0
+        self.joined_at = {}
+        self.peers = {}
+        self.tasks = []
+        self.flight = None
+        self.fences = []
+        self.changes = collections.deque(maxlen=512)
+        self.round = 0
+        self.rounds = {}
+        self.quorum_at = seam.ZERO
+        self.quorum_round = 0
+        self.faulty = {}
+        self.vc_gone = {}
+        self.counts = collections.Counter()
+
+    # -- disk -------------------------------------------------------------
+
+    def write(self, name, doc, gone=()):
+        self.files.add(name)
+        self.files -= set(gone)
+        self.out.append(seam.Write(name, journal.enc(doc), tuple(gone)))
+
+    def on_start(self):
+        if self.fresh:
+            self.write('node', {'id': self.node})
+        for node, m in self.rep.whole().get('members', {}).items():
+            self.remember(m['addr'], node, m['role'])
+        super().on_start()
+
+    def raise_term(self, term, vote=None):
+        self.term = term
+        self.vote = vote
+        self.votes = None
+        self.write('term', {'term': term, 'vote': vote})
+
+    def keep(self, at, base, rows, full):
+        self.since_ckpt += 1
+        if full is not None or self.since_ckpt >= self.bounds.checkpoint_every:
+            self.write_ckpt()
+        else:
+            self.write(journal.gen_name(at), {'term': at[0], 'gen': at[1], 'base': base, 'rows': rows})
+
+    def write_ckpt(self):
+        self.since_ckpt = 0
+        at = self.rep.accepted
+        name = journal.ckpt_name(at)
+        gone = sorted(n for n in self.files if n.startswith(('gen-', 'ckpt-')) and n != name)
+        self.write(name, {'term': at[0], 'gen': at[1], 'tables': self.rep.whole()}, gone)
+
+    def on_disk_fault(self, text):
+        """A write failed: what stood behind it was not done, and nothing more is promised."""
+        if not self.unfit:
+            self.log(f'Disk can not be written: {text}. Does not vote or lead.')
+        self.unfit = True
+        if self.mode == 'leader':
+            self.step_down('disk')
+        self.votes = self.prevotes = None
+        self.alarm('disk', seam.ms(1000))
+
+    def alarm_disk(self):
+        # Why everything again: any of the writes since may be the one that is missing.
+        self.write('node', {'id': self.node})
+        self.write('term', {'term': self.term, 'vote': self.vote})
+        if self.rep.accepted > (0, 0):
+            self.write_ckpt()
+        self.out.append(seam.Done('disk'))
+
+    def on_done(self, name):
+        self.unfit = False
+        self.log('Disk can be written again.')
+
+    def on_recv(self, env):
+        # Why: a voter that can't write answers nothing that would need writing.
+        if self.unfit and env.get('t') not in ('probe', 'probe_re', 'ask_re', 'fetched'):
+            return
+        super().on_recv(env)
+
+    # -- bootstrap without a list -----------------------------------------
+
+    def find_targets(self):
+        if self.mode == 'leader':
+            # Why go on looking: a node whose seeds are all stale is found at its old address.
+            here = {p.addr for p in self.peers.values()}
+            return sorted(a for a in self.known if a not in here)
+        return super().find_targets()
+
+    def fresh_known(self):
+        # Why three probes: one lost answer must not change the set.
+        limit = self.now - self.bounds.probe * 3
+        return {k['id']: a for a, k in self.known.items()
+                if k['role'] == 'core' and k['id'] and k['at'] is not None and k['at'] >= limit}
+
+    def boot_view(self):
+        """Every control node that we or anyone who answers us has heard of lately."""
+        limit = self.now - self.bounds.probe * 3
+        view = {self.node} | set(self.fresh_known())
+        for at, doc in self.views.values():
+            if at >= limit:
+                view |= set(doc['partners'])
+        return sorted(view)
+
+    def seeds_ok(self):
+        limit = self.now - self.bounds.probe * 3
+        seeds = set(self.place.seeds)
+        up = [s for s in seeds if s == self.place.addr
+              or (s in self.known and self.known[s]['at'] is not None and self.known[s]['at'] >= limit)]
+        return 2 * len(up) > len(seeds)
+
+    def empty(self):
+        return self.rep.accepted == (0, 0) and not self.cluster
+
+    def find_extra(self):
+        if not self.empty():
+            return {}
+        return {'view': self.boot_view(), 'seeds_ok': self.seeds_ok()}
+
+    def m_probe_re(self, env):
+        super().m_probe_re(env)
+        self.views[env['f']] = (self.now, {
+            'partners': [n for _, n, fresh in env['partners'] if n and fresh],
+            'view': env.get('view'), 'seeds_ok': env.get('seeds_ok', False), 'cluster': env.get('c', '')})
+        # Why here too: the sooner a quorum is in sight, the shorter the time without a master.
+        if self.mode == 'candidate' and self.rep.accepted > (0, 0) and not self.stopping:
+            self.plan_election()
+
+    def can_join(self):
+        return not self.stopping and not self.unfit
+
+    def alarm_find(self):
+        super().alarm_find()
+        limit = self.now - self.bounds.remember
+        for node in [n for n, (at, _) in self.views.items() if at < limit]:
+            del self.views[node]
+        if self.mode != 'candidate' or self.stopping or self.unfit:
+            return
+        if self.empty():
+            self.try_boot()
+        elif self.rep.accepted == (0, 1):
+            self.push_boot()
+        if self.rep.accepted > (0, 0):
+            self.plan_election()
+
+    def try_boot(self):
+        view = self.boot_view()
+        limit = self.now - self.bounds.probe * 3
+        docs = {n: d for n, (at, d) in self.views.items() if at >= limit}
+        # Why all three: seeds stand in for the list of initial nodes that nobody gives us.
+        good = (self.seeds_ok()
+                and not any(d['cluster'] for d in docs.values())
+                and all(n in docs and docs[n]['view'] == view and docs[n]['seeds_ok']
+                        for n in view if n != self.node))
+        self.boot_rounds = self.boot_rounds + 1 if good and view == self.boot_seen else 0
+        self.boot_seen = view
+        if self.boot_rounds >= 4 and view[0] == self.node:
+            cluster = uuid.UUID(int=self.rng.getrandbits(128), version=4).hex
+            self.log(f'Forms cluster {cluster} of {len(view)}.')
+            self.take_boot(cluster, view)
+            self.push_boot()
+
+    def take_boot(self, cluster, view):
+        self.cluster = cluster
+        vc = {'committed': view, 'accepted': view}
+        full = {'meta': {'cluster': cluster, 'vc': vc, 'boot': view, 'routes': [0, 1]}}
+        self.rep.accept((0, 1), full=full)
+        self.write('term', {'term': self.term, 'vote': self.vote})
+        self.keep((0, 1), (0, 0), None, full)
+        self.boots = {self.node}
+
+    def push_boot(self):
+        """Ask the set to take the first generation, until a majority has."""
+        view = self.rep.latest('meta', 'boot')
+        known = self.fresh_known()
+        self.pushes += 1
+        for node in view:
+            if node in known and node not in (self.boots or ()):
+                # Why resumed in time: a set member lost for good must not stop the rest for ever.
+                self.tell(known[node], 'boot', view=view, resumed=self.pushes > 10)
+
+    def m_boot(self, env):
+        view = env['view']
+        if self.empty() and self.node in view and not self.stopping:
+            # Why our own eyes: the set must be what we see, not only what somebody says.
+            if self.boot_view() == view or self.boot_seen == view or env['resumed']:
+                self.take_boot(env['c'], view)
+        self.tell(env['a'], 'boot_re', ok=self.cluster == env['c'] and self.rep.accepted >= (0, 1))
+
+    def m_boot_re(self, env):
+        if env['ok'] and self.rep.accepted == (0, 1):
+            self.boots = (self.boots or {self.node}) | {env['f']}
+
+    # -- elections --------------------------------------------------------
+
+    def vc(self):
+        return self.rep.latest('meta', 'vc')
+
+    def plan_election(self):
+        if 'elect' in self.alarms:
+            return
+        if replica.quorum_both(set(self.fresh_known()) | {self.node}, self.vc()):
+            # Why random and growing with tries: two candidates must not keep splitting the votes.
+            most = min(self.bounds.elect * (1 + self.tries), self.bounds.elect_most)
+            self.alarm('elect', self.bounds.elect / 3 + most * self.rng.random())
+
+    def alarm_elect(self):
+        if self.mode != 'candidate' or self.unfit or self.stopping or self.rep.accepted == (0, 0):
+            return
+        if self.rep.accepted == (0, 1) and not replica.quorum(self.boots or (), self.rep.latest('meta', 'boot')):
+            return
+        self.tries += 1
+        self.prevotes = {self.node: self.term}
+        self.counts['prevotes'] += 1
+        for node, addr in sorted(self.fresh_known().items()):
+            self.tell(addr, 'prevote', term=self.term, accepted=self.rep.accepted)
+        self.count_prevotes()
+        self.plan_election()
+
+    def m_prevote(self, env):
+        # Why: while somebody leads, a returning node must not unseat them.
+        active = self.mode == 'leader' or (self.mode == 'follower' and self.master['id'] != env['f'])
+        if active or self.rep.accepted == (0, 0):
+            return
+        self.tell(env['a'], 'prevote_re', term=self.term, accepted=self.rep.accepted)
+
+    def m_prevote_re(self, env):
+        if self.prevotes is None or self.mode != 'candidate':
+            return
+        if tup(env['accepted']) > self.rep.accepted:
+            return
+        self.prevotes[env['f']] = env['term']
+        self.count_prevotes()
+
+    def count_prevotes(self):
+        if self.prevotes and replica.quorum_both(self.prevotes, self.vc()):
+            seen = max(self.prevotes.values())
+            self.prevotes = None
+            self.start_election(seen)
+
+    def start_election(self, seen):
+        term = max(self.term, seen) + 1
+        self.counts['elections'] += 1
+        self.log(f'Stands for term {term}.')
+        self.raise_term(term, self.node)
+        self.votes = {self.node: None}
+        for node, addr in sorted(self.fresh_known().items()):
+            self.tell(addr, 'sjoin', term=term)
+        self.count_votes()
+
+    def m_sjoin(self, env):
+        if env['term'] <= self.term or self.rep.accepted == (0, 0):
+            return
+        if self.mode == 'leader':
+            self.step_down('newer term')
+        elif self.mode == 'follower':
+            self.lose_master('newer term')
+        # Why durable first: forgetting this vote would let us vote twice.
+        self.raise_term(env['term'], env['f'])
+        self.prevotes = None
+        self.tell(env['a'], 'vote', term=self.term, accepted=self.rep.accepted, member=self.member())
+
+    def m_vote(self, env):
+        if self.votes is None or env['term'] != self.term or self.mode != 'candidate':
+            if self.mode == 'leader' and env['term'] == self.term:
+                self.m_join(env)
+            return
+        # Why: whoever holds something newer may hold something committed.
+        if tup(env['accepted']) > self.rep.accepted:
+            return
+        self.votes[env['f']] = env['member']
+        self.count_votes()
+
+    def count_votes(self):
+        if self.votes is not None and replica.quorum_both(self.votes, self.vc()):
+            joins, self.votes = self.votes, None
+            self.become_master(joins)
+
+    def become_master(self, joins):
+        self.log(f'Leads term {self.term}.')
+        self.mode = 'leader'
+        self.master = {'id': self.node, 'addr': self.place.addr, 'http': self.place.http}
+        self.tries = 0
+        for a in ('lead', 'elect'):
+            self.alarms.pop(a, None)
+        self.rep.settle()
+        self.peers = {}
+        self.tasks = []
+        self.flight = None
+        self.fences = []
+        self.changes.clear()
+        self.faulty = {}
+        self.vc_gone = {}
+        self.rounds = {}
+        self.quorum_at = self.now
+        self.quorum_round = self.round
+        for node, row in self.rep.get('members').items():
+            if node != self.node:
+                self.peers[node] = Peer(node, row, self.now)
+        joins[self.node] = self.member()
+
+        def first(txn):
+            for node, row in joins.items():
+                add_member(txn, node, row)
+            # Why a row of every term: the first generation must differ from what it builds on.
+            txn.put('meta', 'term', self.term)
+            return {'status': 200}
+        self.submit(first, lambda res: res['status'] == 200 and self.mastered())
+        self.alarm('chk', seam.ZERO)
+
+    def mastered(self):
+        """The first generation of our term is in force: what waited for a master is served."""
+        asks, self.asks = self.asks, {}
+        for op, args, cb, _, _ in asks.values():
+            self.serve(op, args, cb)
+
+    def unmastered(self):
+        """For the role."""
+
+    def step_down(self, why):
+        self.log(f'Steps down from term {self.term}: {why}.')
+        self.mode = 'candidate'
+        self.master = None
+        for a in ('chk', 'pub', 'ack'):
+            self.alarms.pop(a, None)
+        flight, self.flight = self.flight, None
+        tasks, self.tasks = self.tasks, []
+        fences, self.fences = self.fences, []
+        if flight and not flight['done']:
+            for cb, _ in flight['results']:
+                cb(LOST)
+        for _, cb in tasks:
+            cb(NO_MASTER)
+        for _, cb in fences:
+            cb(False)
+        self.peers = {}
+        self.unmastered()
+        self.alarm('find', seam.ZERO)
+        if self.stopping:
+            self.alarm('exit', seam.ms(300))
+
+    def followed(self):
+        super().followed()
+        self.tries = 0
+        self.votes = self.prevotes = None
+        self.alarms.pop('elect', None)
+        if self.stopping:
+            self.tell(self.master['addr'], 'leave')
+
+    # -- the master's single line -----------------------------------------
+
+    def submit(self, fn, cb):
+        """Have fn(txn) run in the line of generations; cb(result) once it is in force."""
+        if self.mode != 'leader':
+            cb(NO_MASTER)
+        elif len(self.tasks) >= self.bounds.queue_most * 4:
+            cb({'status': 503, 'fault': 'busy', 'retry_ms': 200})
+        else:
+            self.tasks.append((fn, cb))
+            self.pump()
+
+    def pump(self):
+        """Compute the next generation from all that waits."""
+        if self.mode != 'leader' or self.flight or not self.tasks:
+            return
+        tasks, self.tasks = self.tasks, []
+        at = (self.term, self.rep.accepted[1] + 1)
+        txn = Txn(self.rep, at, self.now)
+        results = [(cb, txn.run(fn)) for fn, cb in tasks]
+        rows = txn.rows()
+        if not rows:
+            # Why fenced: an outcome that changes nothing is a read, and we may be deposed.
+            def said(ok):
+                for cb, res in results:
+                    cb(res if ok else NO_MASTER)
+            self.fence(said)
+            return
+        routes = replica.routes_of(rows)
+        if routes:
+            rows.append(['meta', 'routes', list(at)])
+        base, base_routes = self.rep.accepted, tup(self.rep.get('meta', 'routes'))
+        self.rep.accept(at, rows=rows)
+        self.flight = {'at': at, 'rows': rows, 'routes': bool(routes), 'results': results, 'vc': self.vc(),
+                       'answered': {self.node}, 'done': False, 'acks': set(), 'base': base}
+        self.changes.append((base, base_routes, at, rows, bool(routes)))
+        self.counts['generations'] += 1
+        for p in self.peers.values():
+            if p.role == 'core' or routes:
+                self.offer(p)
+        # Why after the sends: theirs and ours may be written at the same time; ours counts when done.
+        self.keep(at, base, rows, None)
+        self.alarm('pub', self.bounds.publish)
+        self.check_commit()
+
+    def latest_for(self, p):
+        if p.role == 'core':
+            return self.rep.accepted
+        return tup(self.rep.latest('meta', 'routes'))
+
+    def offer(self, p, whole=False):
+        """Send a member what it lacks: the changes since what it has, or everything."""
+        at = self.latest_for(p)
+        core = p.role == 'core'
+        rows, base = None, p.accepted
+        if base is not None and not whole:
+            for b, b_routes, a, r, is_routes in self.changes:
+                if rows is None and base == (b if core else b_routes) and (core or is_routes):
+                    rows = []
+                if rows is not None:
+                    rows.extend(r if core else replica.routes_of(r))
+        p.offered = self.now
+        if rows is not None:
+            self.tell(p.addr, 'pub', term=self.term, at=at, base=base, rows=rows, http=self.place.http)
+        else:
+            self.counts['full'] += 1
+            self.tell(p.addr, 'pub', term=self.term, at=at, full=self.rep.whole(routes=not core),
+                      http=self.place.http)
+
+    def m_pub_re(self, env):
+        if env['term'] > self.term:
+            self.deposed(env['term'])
+            return
+        p = self.peers.get(env['f'])
+        if self.mode != 'leader' or p is None or env['term'] < self.term:
+            return
+        at = tup(env['at'])
+        p.accepted = tup(env['accepted'])
+        if not env['ok']:
+            if p.accepted < self.latest_for(p):
+                self.offer(p, whole=True)
+            return
+        f = self.flight
+        if f and not f['done'] and at == f['at']:
+            f['answered'].add(p.node)
+            self.check_commit()
+        else:
+            self.tell_commit(p)
+
+    def tell_commit(self, p):
+        at = p.accepted
+        if at == self.latest_for(p) and not (self.flight and not self.flight['done'] and at == self.flight['at']):
+            self.tell(p.addr, 'com', term=self.term, at=at, http=self.place.http)
+
+    def check_commit(self):
+        f = self.flight
+        if f['done'] or not replica.quorum_both(f['answered'], f['vc']):
+            return
+        f['done'] = True
+        self.alarms.pop('pub', None)
+        self.took(self.rep.commit(f['at']))
+        for node in sorted(f['answered']):
+            if node in self.peers:
+                self.tell_commit(self.peers[node])
+        for cb, res in f['results']:
+            cb(res)
+        if self.mode != 'leader':
+            return
+        self.sync_peers()
+        if f['routes']:
+            self.alarm('ack', self.bounds.ack)
+            self.check_acks()
+        else:
+            self.flown()
+
+    def check_acks(self):
+        f = self.flight
+        fresh = self.now - self.bounds.check * 2
+        if f and f['done'] and all(n in f['acks'] for n, p in self.peers.items() if p.ack_at >= fresh):
+            self.flown()
+
+    def alarm_ack(self):
+        # Why move on: one slow member must not hold up the others; its lease bounds it instead.
+        if self.flight and self.flight['done']:
+            self.flown()
+
+    def flown(self):
+        self.alarms.pop('ack', None)
+        self.flight = None
+        self.reconfigure()
+        self.pump()
+
+    def m_com_re(self, env):
+        p = self.peers.get(env['f'])
+        if self.mode != 'leader' or p is None or env['term'] != self.term:
+            return
+        p.committed = tup(env['at'])
+        f = self.flight
+        if f and p.committed == f['at']:
+            f['acks'].add(p.node)
+            self.check_acks()
+
+    def alarm_pub(self):
+        if self.mode == 'leader' and self.flight and not self.flight['done']:
+            self.step_down('no quorum for a generation')
+
+    def deposed(self, term):
+        if self.mode == 'leader':
+            self.step_down('newer term')
+
+    # -- checks, leases, fences -------------------------------------------
+
+    def alarm_chk(self):
+        self.start_round(True)
+        self.alarm('chk', self.bounds.check)
+        if self.now - self.quorum_at > self.bounds.check * self.bounds.misses:
+            self.step_down('no quorum answers')
+            return
+        limit = self.now - self.bounds.check * self.bounds.misses
+        for p in [p for p in self.peers.values() if p.ack_at < limit]:
+            self.fault_member(p, 'silent')
+        self.tick_master()
+
+    def tick_master(self):
+        """For the role, once a check round."""
+
+    def start_round(self, everyone):
+        self.round += 1
+        # Why who was heard is noted now: a lease may only rest on answers from before the round began.
+        self.rounds[self.round] = {'start': self.now, 'answered': {self.node}, 'everyone': everyone, 'fence': 0,
+                                   'heard': {n: p.acked for n, p in self.peers.items()}}
+        for q in [q for q in self.rounds if q < self.round - 20]:
+            del self.rounds[q]
+        for p in self.peers.values():
+            if everyone or p.role == 'core':
+                self.tell(p.addr, 'chk', term=self.term, round=self.round, http=self.place.http)
+        self.round_answered(self.round)
+
+    def m_chk_re(self, env):
+        if env.get('no'):
+            if env['term'] > self.term:
+                self.deposed(env['term'])
+            return
+        p = self.peers.get(env['f'])
+        if self.mode != 'leader' or p is None or env['term'] != self.term:
+            return
+        p.ack_at = self.now
+        p.acked = max(p.acked, env['round'])
+        p.accepted = tup(env['accepted'])
+        p.committed = tup(env['committed'])
+        self.catch_up(p)
+        r = self.rounds.get(env['round'])
+        if r and p.node not in r['answered']:
+            r['answered'].add(p.node)
+            if p.role == 'core':
+                self.round_answered(env['round'])
+
+    def catch_up(self, p):
+        # Why a pause: what it lacks may be on its way to it.
+        if self.now - p.offered < self.bounds.check / 2:
+            return
+        if p.accepted != self.latest_for(p):
+            self.offer(p, whole=p.accepted > self.latest_for(p))
+        elif p.committed != p.accepted:
+            self.tell_commit(p)
+
+    def round_answered(self, q):
+        r = self.rounds[q]
+        if q <= self.quorum_round or not replica.quorum_both(r['answered'], self.vc()):
+            return
+        self.quorum_round = q
+        self.quorum_at = max(self.quorum_at, r['start'])
+        # Why none before our first generation: what we lead from may be behind.
+        if r['everyone'] and self.rep.committed[0] == self.term:
+            for n, p in self.peers.items():
+                ack = r['heard'].get(n)
+                if ack and self.up_to_date(p):
+                    self.tell(p.addr, 'grant', term=self.term, ack=ack)
+        ready = [cb for need, cb in self.fences if need <= q]
+        self.fences = [(need, cb) for need, cb in self.fences if need > q]
+        for cb in ready:
+            cb(True)
+
+    def up_to_date(self, p):
+        if p.role == 'core':
+            return p.committed == self.rep.committed
+        f = self.flight
+        if f and f['routes'] and not f['done']:
+            return p.committed >= tup(self.rep.get('meta', 'routes'))
+        return p.committed == tup(self.rep.latest('meta', 'routes'))
+
+    def fence(self, cb):
+        """cb(True) once a quorum has answered a round begun after now; cb(False) if deposed."""
+        self.fences.append((self.round + 1, cb))
+        if 'fence' not in self.alarms:
+            # Why a short pause: many reads share one round.
+            self.alarm('fence', seam.ms(4))
+
+    def alarm_fence(self):
+        if self.mode == 'leader' and self.fences:
+            self.start_round(False)
+
+    # -- membership -------------------------------------------------------
+
+    def sync_peers(self):
+        rows = self.rep.get('members')
+        for node in [n for n in self.peers if n not in rows]:
+            del self.peers[node]
+        for node, row in rows.items():
+            if node != self.node and node not in self.peers:
+                p = self.peers[node] = Peer(node, row, self.now)
+                # Why: who comes back needs only what it missed.
+                p.accepted = self.joined_at.pop(node, None)
+                if p.accepted != self.latest_for(p):
+                    self.offer(p)
+                self.tell(p.addr, 'chk', term=self.term, round=self.round, http=self.place.http)
+
+    def m_join(self, env):
+        if self.mode != 'leader':
+            return
+        if env['term'] > self.term:
+            # Why: it can follow no term below its own, so we need a newer one to have it.
+            self.deposed(env['term'])
+            return
+        p = self.peers.get(env['f'])
+        self.joined_at[env['f']] = tup(env['accepted'])
+        if p is not None:
+            p.accepted = tup(env['accepted'])
+            p.ack_at = self.now
+            self.catch_up(p)
+            return
+        node, row = env['f'], env['member']
+        self.submit(lambda txn: add_member(txn, node, row), lambda res: None)
+
+    def m_leave(self, env):
+        p = self.peers.get(env['f'])
+        if self.mode == 'leader' and p:
+            self.fault_member(p, 'left')
+
+    def on_lost(self, addr):
+        super().on_lost(addr)
+        if self.mode == 'leader':
+            for p in [p for p in self.peers.values() if p.addr == addr]:
+                self.fault_member(p, 'disconnected')
+
+    def fault_member(self, p, why):
+        node = p.node
+        if self.faulty.get(node, seam.ZERO) > self.now - seam.ms(1000) and node in self.faulty:
+            return
+        self.faulty[node] = self.now
+        self.log(f'Member {node} ({p.role} {p.addr}) is gone: {why}.')
+
+        def drop(txn):
+            txn.drop('members', node)
+            self.member_gone(txn, node)
+            return {'status': 200}
+        self.submit(drop, lambda res: self.faulty.pop(node, None))
+
+    def member_gone(self, txn, node):
+        """For the role: what else follows from a member's loss."""
+
+    # -- the voting set ---------------------------------------------------
+
+    def reconfigure(self):
+        """One step towards a voting set that survives the most."""
+        vc = self.rep.get('meta', 'vc')
+        if self.mode != 'leader' or self.flight or not vc or self.rep.committed[0] != self.term:
+            return
+        if vc['committed'] != vc['accepted']:
+            done = {'committed': vc['accepted'], 'accepted': vc['accepted']}
+        else:
+            want = self.want_voters(vc['accepted'])
+            if want == vc['accepted']:
+                return
+            done = {'committed': vc['accepted'], 'accepted': want}
+
+        def change(txn):
+            if txn.get('meta', 'vc') == vc:
+                txn.put('meta', 'vc', done)
+            return {'status': 200}
+        self.log(f'Voting set becomes {done["accepted"]}.')
+        self.submit(change, lambda res: None)
+
+    def nearly(self, p):
+        # Why not equal: under load the newest generation is always still on its way.
+        return p.committed[0] == self.term and self.rep.committed[1] - p.committed[1] <= 8
+
+    def want_voters(self, now_set):
+        members = self.rep.get('members')
+        cells = self.rep.get('cells')
+        ready = [self.node]
+        for n, p in self.peers.items():
+            # Why caught up first: a voter with nothing would weaken every quorum it is in.
+            if p.role == 'core' and (n in now_set or self.nearly(p)):
+                ready.append(n)
+        for n in now_set:
+            if n in ready:
+                self.vc_gone.pop(n, None)
+            else:
+                self.vc_gone.setdefault(n, self.now)
+        # Why a grace: a restart should not cost two generations.
+        lately = [n for n in now_set if n in self.vc_gone and self.now - self.vc_gone[n] < seam.ms(2000)]
+        ready += lately
+        size = min(5, len(ready) - 1 + len(ready) % 2)
+        if size < 3:
+            # Why never below three by itself: a lone survivor must not decide alone.
+            return now_set if len(now_set) >= 3 or len(ready) <= len(now_set) else sorted(ready)
+        pick = []
+        while len(pick) < size:
+            def cost(n):
+                row = members.get(n) or {'cell': ''}
+                region = partner.place_of(cells, row['cell'])
+                same_r = sum(1 for m in pick if partner.place_of(cells, (members.get(m) or {'cell': ''})['cell'])
+                             == region)
+                same_c = sum(1 for m in pick if (members.get(m) or {'cell': ''})['cell'] == row['cell'])
+                return same_r, same_c, n not in now_set, n
+            pick.append(min((n for n in ready if n not in pick), key=cost))
+        want = sorted(pick)
+        # Why one at a time: each step keeps quorums that overlap in more than one node.
+        add = [n for n in want if n not in now_set][:1]
+        rid = [n for n in now_set if n not in want]
+        if len(want) <= len(now_set):
+            rid = rid[:1 if add else 2]
+        elif not rid:
+            add = [n for n in want if n not in now_set][:2]
+        else:
+            rid = rid[:1]
+        return sorted((set(now_set) | set(add)) - set(rid))
+
+    # -- leaving ----------------------------------------------------------
+
+    def leave_wait(self):
+        return seam.ms(1500)
+
+    def on_stop(self):
+        if self.mode == 'leader' and not self.stopping:
+            self.stopping = True
+            self.name_successor()
+            self.alarm('exit', self.leave_wait())
+            return
+        super().on_stop()
+        if not self.master or self.mode == 'candidate':
+            self.alarm('exit', seam.ms(100))
+        else:
+            self.alarm('exit', seam.ms(300))
+
+    def name_successor(self):
+        vc = self.vc()
+        able = [p for n, p in sorted(self.peers.items()) if n in vc['accepted'] and p.accepted]
+        if able:
+            # Why the furthest, then who answered last: it wins at once and is the surest to be there.
+            p = max(able, key=lambda p: (p.accepted, p.ack_at))
+            self.log(f'Names {p.node} successor.')
+            self.tell(p.addr, 'succeed', term=self.term)
+        self.alarm('succ', seam.ms(150))
+
+    def alarm_succ(self):
+        if self.mode == 'leader':
+            self.name_successor()
+
+    def m_succeed(self, env):
+        # Why without a pre-vote: the master itself says that it goes.
+        if env['term'] == self.term and self.mode == 'follower' and not self.unfit and not self.stopping:
+            for node, row in self.rep.get('members').items():
+                if row['role'] == 'core':
+                    self.remember(row['addr'], node, 'core', seen=True)
+            self.remember(env['a'], env['f'], 'core', seen=True)
+            self.lose_master('hands over')
+            self.start_election(self.term)
+
+    # -- asks -------------------------------------------------------------
+
+    def ask(self, op, args, cb, wait=None):
+        if self.mode == 'leader':
+            self.serve(op, args, cb)
+        else:
+            super().ask(op, args, cb, wait)
+
+    def m_ask(self, env):
+        addr, key = env['a'], env['key']
+        if self.mode != 'leader' or self.stopping:
+            self.tell(addr, 'ask_re', key=key, result=NO_MASTER)
+            return
+        self.serve(env['op'], env['args'], lambda res: self.tell(addr, 'ask_re', key=key, result=res))
+
+    def serve(self, op, args, cb):
+        """For the role: the operations a master does for the others."""
+        cb({'status': 404, 'fault': f'no operation {op}'})
+
+    def status(self):
+        s = super().status()
+        s.update(unfit=self.unfit, voters=self.vc(), counts=dict(self.counts), queue=len(self.tasks),
+                 members={n: {**row, 'ack_ms': partner.age(self.now, self.peers[n].ack_at) if n in self.peers else 0,
+                              'generation': list(self.peers[n].committed) if n in self.peers else
+                              list(self.rep.committed)}
+                          for n, row in self.rep.get('members').items()} if self.mode == 'leader' else
+                 dict(self.rep.get('members')))
+        return s
+
+
+def add_member(txn, node, row):
+    # Why by address: whoever answered there before is gone, or this one could not listen.
+    for other, old in txn.items('members').items():
+        if other != node and old['addr'] == row['addr']:
+            txn.drop('members', other)
+    txn.put('members', node, row)
+    return {'status': 200}
--- /dev/null
+++ b/zinctrail/bounds.py
@@ -0,0 +1,67 @@
+"""Every bound in one place, settable by flag, checked together at start."""
+
+import dataclasses
+import datetime
+
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+ms = seam.ms
+
+
+@dataclasses.dataclass
+class Bounds:
+    check: datetime.timedelta = ms(400)
+    misses: int = 3
+    probe: datetime.timedelta = ms(400)
+    lease: datetime.timedelta = ms(2400)
+    answer: datetime.timedelta = ms(2000)
+    publish: datetime.timedelta = ms(1200)
+    ack: datetime.timedelta = ms(200)
+    elect: datetime.timedelta = ms(150)
+    elect_most: datetime.timedelta = ms(1500)
+    epoch: datetime.timedelta = ms(10000)
+    epochs_kept: int = 7
+    beat: datetime.timedelta = ms(2000)
+    beats_missed: float = 2.5
+    prober: datetime.timedelta = ms(600)
+    credit: datetime.timedelta = ms(3000)
+    demand: datetime.timedelta = ms(400)
+    repeat_window: datetime.timedelta = ms(10000)
+    repeat_share: float = 0.2
+    repeat_allowance: int = 24
+    call: datetime.timedelta = ms(3000)
+    history: datetime.timedelta = ms(60000)
+    checkpoint_every: int = 256
+    queue_most: int = 512
+    body_most: int = 1 << 20
+    config_most: int = 2 << 20
+    frame_most: int = 32 << 20
+    remember: datetime.timedelta = ms(600000)
+
+    def faults(self):
+        """All that is wrong, each with its name."""
+        out = []
+        for f in dataclasses.fields(self):
+            v = getattr(self, f.name)
+            if (v.total_seconds() if isinstance(v, datetime.timedelta) else v) <= 0:
+                out.append((f.name, 'must be above zero'))
+        # Why: the brief's 3 s from learning to stopping, less the time of a commit.
+        if self.lease > ms(2600):
+            out.append(('lease', 'longer than 2600 ms: a stale view would outlive its bound of 3 s'))
+        if self.answer > ms(5000):
+            out.append(('answer', 'longer than 5000 ms: requesters would outlive an evacuation'))
+        # Why: an isolated master must give up before the leases it granted run out.
+        if self.check * (self.misses + 1) >= self.lease:
+            out.append(('check', 'check x (misses + 1) must be below the lease'))
+        if self.frame_most < 4 * self.config_most:
+            out.append(('frame_most', 'must be at least four times config_most'))
+        if self.repeat_share > 0.2:
+            out.append(('repeat_share', 'above a fifth'))
+        return out
+
+    def check_all(self):
+        bad = self.faults()
+        if bad:
+            raise faults.SettingFault('; '.join(f'{n}: {t}' for n, t in bad))
+        return self
--- /dev/null
+++ b/zinctrail/ctl/api.py
@@ -0,0 +1,142 @@
+"""The HTTP pages that ztcore and ztdir share: operators', endpoints' and applications' calls.
+
+PAGES is the registry: (method, path) -> fn(machine, call, body, answer).
+answer(result) is called once; result carries a status.
+"""
+
+import json
+
+import zinctrail
+import zinctrail.ctl.coord as coord
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+PAGES = {}
+
+
+def page(method, path):
+    def put(fn):
+        PAGES[method, path] = fn
+        return fn
+    return put
+
+
+class Api:
+    """Mixed into a partner: turns calls into asks of the master."""
+
+    def api_init(self):
+        self.calls = {}
+
+    def on_http(self, rid, call):
+        self.calls[rid] = True
+
+        def answer(res):
+            # Why once: an ask may be answered after its caller was told that it wasn't.
+            if self.calls.pop(rid, None):
+                self.out.append(outcome(rid, res))
+        try:
+            if len(self.calls) > self.bounds.queue_most:
+                raise faults.CallFault(503, 'busy', retry_ms=200)
+            fn = PAGES.get((call.method, call.path)) or self.pages().get((call.method, call.path))
+            if fn is None:
+                paths = {p for _, p in list(PAGES) + list(self.pages())}
+                raise faults.CallFault(405 if call.path in paths else 404, 'no such page')
+            fn(self, call, read_body(call), answer)
+        except faults.CallFault as e:
+            answer({'status': e.status, 'fault': str(e), **e.more})
+
+    def pages(self):
+        return {}
+
+    def on_hung_up(self, rid):
+        """The caller went away; what it asked for may still happen."""
+        self.calls.pop(rid, None)
+
+    def ready(self):
+        """(whether ready, why not)"""
+        if self.stopping:
+            return False, 'leaving'
+        if not self.master:
+            return False, 'no master'
+        return True, ''
+
+
+def read_body(call):
+    if not call.body:
+        return {}
+    try:
+        doc = json.loads(call.body)
+    except (ValueError, RecursionError) as e:
+        raise faults.CallFault(400, f'body is not JSON: {e}')
+    if not isinstance(doc, dict):
+        raise faults.CallFault(400, 'body must be a JSON object')
+    return doc
+
+
+def outcome(rid, res, headers=None):
+    res = dict(res)
+    status = res.pop('status')
+    headers = dict(headers or {}, **{'content-type': 'application/json'})
+    if status == 421:
+        status = 503
+    if status in (409, 503, 504):
+        # Why a hint at once: a caller is told when to come back, never kept waiting for it.
+        res.setdefault('retry_ms', 300)
+        headers['retry-after'] = str(max(1, round(res['retry_ms'] / 1000)))
+    return seam.Outcome(rid, status, headers, json.dumps(res).encode())
+
+
+@page('GET', '/v1/ready')
+def ready(m, call, body, answer):
+    ok, why = m.ready()
+    answer({'status': 200 if ok else 503, 'ready': ok, 'why': why})
+
+
+@page('GET', '/v1/live')
+def live(m, call, body, answer):
+    answer({'status': 200, 'release': zinctrail.__version__})
+
+
+@page('GET', '/v1/self')
+def self_(m, call, body, answer):
+    answer({'status': 200, 'state': m.status()})
+
+
+@page('GET', '/v1/status')
+def status(m, call, body, answer):
+    m.ask('status', {}, answer)
+
+
+@page('GET', '/v1/config')
+def config_get(m, call, body, answer):
+    m.ask('config.get', {}, answer)
+
+
+@page('PUT', '/v1/config')
+def config_put(m, call, body, answer):
+    for k in body:
+        if k not in ('config', 'base', 'wait'):
+            raise faults.CallFault(400, f'{k} is not a known field')
+    # Why an id: should its outcome get lost, asking again must not call it a conflict.
+    m.ask('config.apply', dict(body, id=f'{m.rng.getrandbits(64):x}'), answer, seam.ms(10000))
+
+
+@page('POST', '/v1/config/check')
+def config_check(m, call, body, answer):
+    m.ask('config.check', body, answer)
+
+
+@page('POST', '/v1/beat')
+def beat(m, call, body, answer):
+    m.ask('beat', body, answer)
+
+
+def _coord(name):
+    def fn(m, call, body, answer):
+        wait = seam.ms(25000) if name == 'key.watch' else None
+        m.ask(name, body, answer, wait)
+    return fn
+
+
+for _name in coord.OPS:
+    PAGES['POST', f'/v1/{_name.replace(".", "/")}'] = _coord(_name)
--- /dev/null
+++ b/zinctrail/ctl/claims.py
@@ -0,0 +1,39 @@
+"""Run-once claims: who may run a request id, decided once for all proxies.
+
+A row {p: proxy, a: attempt, n: nonce, at: proxy's address, s: open|closed, epoch}.
+"""
+
+import zinctrail.faults as faults
+
+
+def claim(core, txn, args):
+    rid, attempt, nonce = args['id'], args['attempt'], args['nonce']
+    epoch = txn.get('meta', 'epoch') or 0
+    made = epoch_of(rid)
+    if made is None or made > epoch:
+        raise faults.CallFault(400, f'request id must begin with an epoch that has begun (now {epoch}) and a dot')
+    if made <= epoch - core.bounds.epochs_kept:
+        # Why: its claim may be forgotten, so nobody can say any more that it never ran.
+        return {'status': 200, 'got': 'old'}
+    row = txn.get('claims', rid)
+    if row and not (row['s'] == 'closed' and attempt > row['a']) and row['n'] != nonce:
+        return {'status': 200, 'got': 'taken', 'by': row['p'], 'at': row['at'], 'state': row['s'], 'attempt': row['a']}
+    if row and row['n'] == nonce and row['s'] == 'closed':
+        return {'status': 200, 'got': 'closed'}
+    txn.put('claims', rid, {'p': args['proxy'], 'a': attempt, 'n': nonce, 'at': args['at'], 's': 'open',
+                            'epoch': made})
+    return {'status': 200, 'got': 'claimed'}
+
+
+def close(core, txn, args):
+    """The holder says that it did not run and never will under this claim."""
+    row = txn.get('claims', args['id'])
+    if row is None or row['n'] != args['nonce']:
+        raise faults.CallFault(409, 'no such claim')
+    txn.put('claims', args['id'], dict(row, s='closed'))
+    return {'status': 200}
+
+
+def epoch_of(rid):
+    made, dot, rest = rid.partition('.')
+    return int(made) if dot and rest and made.isdigit() and len(made) < 12 else None
--- /dev/null
+++ b/zinctrail/ctl/coord.py
@@ -0,0 +1,171 @@
+"""Coordination for applications: locks with fences, rising numbers, keys, watches.
+
+Each operation runs in the master's single line; OPS is the registry.
+fn(core, txn, args) -> result. An operation that acts carries an id, and the
+id's result is kept, so that a repeat after a lost reply does not act twice.
+"""
+
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+OPS = {}
+
+
+def op(name, acts=False):
+    def put(fn):
+        OPS[name] = (fn, acts)
+        return fn
+    return put
+
+
+def text(args, key, most=200):
+    val = args.get(key)
+    if not isinstance(val, str) or not val or len(val) > most:
+        raise faults.CallFault(400, f'{key} must be a text of 1 to {most}')
+    if val.startswith('/'):
+        raise faults.CallFault(400, f'{key} must not begin with a slash: those are our own')
+    return val
+
+
+def whole(args, key, low, high, default=None):
+    val = args.get(key, default)
+    if isinstance(val, bool) or not isinstance(val, int) or not low <= val <= high:
+        raise faults.CallFault(400, f'{key} must be a whole number from {low} to {high}')
+    return val
+
+
+def run(core, txn, name, args):
+    """Run one operation, once for its id."""
+    fn, acts = OPS[name]
+    if not acts:
+        return fn(core, txn, args)
+    call = text(args, 'id')
+    done = txn.get('done', call)
+    if done is not None:
+        if done['op'] != name:
+            raise faults.CallFault(409, 'this id was used for another operation')
+        return done['result']
+    epoch = txn.get('meta', 'epoch') or 0
+    # Why the id tells its epoch: once results are forgotten, a late copy must be known as late.
+    made = call.split('.', 1)[0]
+    if not made.isdigit() or not epoch - core.bounds.epochs_kept < int(made) <= epoch:
+        raise faults.CallFault(400, f'id must begin with an epoch in use (now {epoch}) and a dot', epoch=epoch)
+    res = fn(core, txn, args)
+    txn.put('done', call, {'op': name, 'result': res, 'epoch': epoch})
+    return res
+
+
+@op('lock.take')
+def lock_take(core, txn, args):
+    # Why no id: taking again by the same holder renews, which is what a repeat should do.
+    name, holder = text(args, 'name'), text(args, 'holder')
+    lease = whole(args, 'lease_ms', 500, 60000, 5000)
+    row = txn.get('locks', name)
+    if row and row['holder'] != holder and core.lock_until.get(name, txn.now) > txn.now:
+        left = seam.to_ms(core.lock_until[name] - txn.now)
+        raise faults.CallFault(409, 'held by another', holder=row['holder'], retry_ms=max(50, min(left, 1000)))
+    if not row or row['holder'] != holder or core.lock_until.get(name, txn.now) <= txn.now:
+        row = {'holder': holder, 'fence': txn.gen, 'lease_ms': lease}
+        txn.put('locks', name, row)
+    elif row['lease_ms'] != lease:
+        row = dict(row, lease_ms=lease)
+        txn.put('locks', name, row)
+    core.lock_until[name] = txn.now + seam.ms(lease)
+    return {'status': 200, 'fence': row['fence'], 'lease_ms': lease}
+
+
+@op('lock.free')
+def lock_free(core, txn, args):
+    name, holder = text(args, 'name'), text(args, 'holder')
+    row = txn.get('locks', name)
+    if row and row['holder'] == holder and row['fence'] == args.get('fence', row['fence']):
+        txn.drop('locks', name)
+        core.lock_until.pop(name, None)
+        return {'status': 200, 'freed': True}
+    return {'status': 200, 'freed': False}
+
+
+@op('lock.get')
+def lock_get(core, txn, args):
+    row = txn.get('locks', text(args, 'name'))
+    if row is None:
+        raise faults.CallFault(404, 'not held')
+    return {'status': 200, 'holder': row['holder'], 'fence': row['fence']}
+
+
+@op('number.next', acts=True)
+def number_next(core, txn, args):
+    name = text(args, 'name')
+    n = (txn.get('numbers', name) or 0) + whole(args, 'by', 1, 1000000, 1)
+    txn.put('numbers', name, n)
+    return {'status': 200, 'number': n}
+
+
+def event(core, txn, key, val):
+    n = core.event_no = core.event_no + 1 if core.event_gen == txn.gen else 0
+    core.event_gen = txn.gen
+    # Why zeros in front: keys then sort as the events rose.
+    txn.put('events', f'{txn.gen:016d}.{n:06d}',
+            {'key': key, 'value': val, 'rev': txn.gen, 'epoch': txn.get('meta', 'epoch') or 0})
+
+
+@op('key.get')
+def key_get(core, txn, args):
+    row = txn.get('keys', text(args, 'key'))
+    if row is None:
+        raise faults.CallFault(404, 'no such key', rev=0, head=txn.gen - 1)
+    return {'status': 200, 'value': row['value'], 'rev': row['rev'], 'head': txn.gen - 1}
+
+
+def expect(txn, key, args):
+    row = txn.get('keys', key)
+    here = row['rev'] if row else 0
+    if args.get('rev') is not None and args['rev'] != here:
+        raise faults.CallFault(409, f'at revision {here}', rev=here)
+    return row
+
+
+@op('key.put', acts=True)
+def key_put(core, txn, args):
+    key, val = text(args, 'key'), args.get('value')
+    if not isinstance(val, str) or len(val) > 8192:
+        raise faults.CallFault(400, 'value must be a text up to 8192')
+    expect(txn, key, args)
+    txn.put('keys', key, {'value': val, 'rev': txn.gen})
+    event(core, txn, key, val)
+    return {'status': 200, 'rev': txn.gen}
+
+
+@op('key.drop', acts=True)
+def key_drop(core, txn, args):
+    key = text(args, 'key')
+    if expect(txn, key, args) is None:
+        raise faults.CallFault(404, 'no such key', rev=0)
+    txn.drop('keys', key)
+    event(core, txn, key, None)
+    return {'status': 200, 'rev': txn.gen}
+
+
+@op('key.watch')
+def key_watch(core, txn, args):
+    """Events after `since`; the core holds the call while there are none."""
+    prefix = args.get('prefix', '')
+    since = whole(args, 'since', 0, 1 << 53, 0)
+    floor = (txn.get('numbers', '/floor') or 0)
+    if since < floor:
+        # Why told: a watcher that is skipped ahead would miss a change without knowing.
+        raise faults.CallFault(410, 'further back than the history kept', floor=floor, head=txn.gen - 1)
+    out = [e for k, e in sorted(txn.items('events').items())
+           if e['rev'] > since and e['key'].startswith(prefix)]
+    return {'status': 200, 'events': [{'key': e['key'], 'value': e['value'], 'rev': e['rev']} for e in out],
+            'head': txn.gen - 1}
+
+
+def forget(txn, epoch, kept):
+    """At a new epoch: drop what is past its retention."""
+    for table in ('done', 'events', 'claims'):
+        for key, row in txn.items(table).items():
+            if row['epoch'] <= epoch - kept:
+                txn.drop(table, key)
+                if table == 'events':
+                    txn.put('numbers', '/floor', max(txn.get('numbers', '/floor') or 0, row['rev']))
--- /dev/null
+++ b/zinctrail/ctl/core.py
@@ -0,0 +1,374 @@
+"""The control node: the agreement, and what its master decides with it."""
+
+import collections
+import hashlib
+
+import zinctrail.agree.voter as voter
+import zinctrail.ctl.api as api
+import zinctrail.ctl.claims as claims
+import zinctrail.ctl.config as config
+import zinctrail.ctl.coord as coord
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+STATES = ('ready', 'draining', 'leaving')
+
+
+def check_beat(b):
+    """A beat as an endpoint sends it; faults name the field."""
+    r = config.Reader()
+    known = ('inc', 'addr', 'service', 'cell', 'labels', 'slots', 'state', 'cold', 'pressure')
+    if r.fields('$', b, known, ('inc', 'addr', 'service', 'cell', 'slots', 'state')):
+        for k in ('inc', 'service', 'cell'):
+            if k in b:
+                r.name(f'$.{k}', b[k])
+        if not is_addr(b.get('addr')):
+            r.fault('$.addr', 'must be IP:PORT')
+        r.match('$.labels', b.get('labels', {}), lists=False)
+        r.number('$.slots', b.get('slots'), 1, 100000)
+        if b.get('state') not in STATES:
+            r.fault('$.state', f'must be one of {", ".join(STATES)}')
+        for k in ('cold', 'pressure'):
+            v = b.get(k, 0)
+            if isinstance(v, bool) or not isinstance(v, (int, float)) or not 0 <= v <= (1 if k == 'cold' else 1000):
+                r.fault(f'$.{k}', 'must be a number from 0 to 1')
+    if r.faults:
+        raise faults.CallFault(400, 'invalid beat', faults=[{'path': p, 'fault': t} for p, t in r.faults])
+
+
+def is_addr(val):
+    if not isinstance(val, str):
+        return False
+    host, colon, port = val.rpartition(':')
+    return bool(colon and host) and port.isdigit() and 0 < int(port) < 65536
+
+
+class Core(api.Api, voter.Voter):
+
+    def __init__(self, place, bounds, rng, files=None):
+        super().__init__(place, bounds, rng, files)
+        self.api_init()
+        self.since = seam.ZERO
+        self.beats = {}
+        self.goners = collections.OrderedDict()
+        self.probing = {}
+        self.lock_until = {}
+        self.event_gen = 0
+        self.event_no = 0
+        self.waits = []
+        self.watches = []
+        self.epoch_at = None
+        self.fetches = {}
+        self.fetch_no = 0
+
+    # -- mastership -------------------------------------------------------
+
+    def mastered(self):
+        # Why in full: how long anybody was silent under the old master is not known here.
+        self.since = self.now
+        self.beats = {}
+        self.goners.clear()
+        self.probing = {}
+        self.lock_until = {n: self.now + seam.ms(row['lease_ms']) for n, row in self.rep.get('locks').items()}
+        self.epoch_at = self.now
+        self.submit(lambda txn: self.place_duties(txn) or {'status': 200}, lambda res: None)
+        super().mastered()
+
+    def unmastered(self):
+        waits, self.waits = self.waits, []
+        for w in waits:
+            w['cb'](voter.LOST)
+        watches, self.watches = self.watches, []
+        for w in watches:
+            w['cb'](voter.NO_MASTER)
+
+    def tick_master(self):
+        if self.rep.committed[0] != self.term:
+            return
+        self.tick_epoch()
+        self.tick_endpoints()
+        self.tick_locks()
+        self.tick_waits()
+        self.tick_watches()
+        self.reconfigure()
+
+    def tick_epoch(self):
+        if self.now - self.epoch_at < self.bounds.epoch and self.rep.get('meta', 'epoch'):
+            return
+        self.epoch_at = self.now
+
+        def step(txn):
+            epoch = (txn.get('meta', 'epoch') or 0) + 1
+            txn.put('meta', 'epoch', epoch)
+            coord.forget(txn, epoch, self.bounds.epochs_kept)
+            self.place_duties(txn)
+            return {'status': 200}
+        self.submit(step, lambda res: None)
+
+    def tick_locks(self):
+        over = [n for n, until in self.lock_until.items() if until <= self.now]
+        for name in over:
+            def drop(txn, name=name):
+                # Why look again: a renewal may stand before us in the line.
+                if self.lock_until.get(name, txn.now) <= txn.now:
+                    self.lock_until.pop(name, None)
+                    txn.drop('locks', name)
+                return {'status': 200}
+            self.submit(drop, lambda res: None)
+
+    # -- endpoints --------------------------------------------------------
+
+    def serve_beat(self, args, cb):
+        check_beat(args)
+        inc = args['inc']
+        if inc in self.goners:
+            # Why: what was declared gone stays gone; it must come back as somebody new.
+            raise faults.CallFault(410, 'this incarnation was declared gone: mint a new one')
+        self.beats[inc] = self.now
+        # Why in eighths: warming up must not cost a generation a beat.
+        row = {'addr': args['addr'], 'service': args['service'], 'cell': args['cell'],
+               'labels': args.get('labels', {}), 'slots': args['slots'], 'state': args['state'],
+               'cold': round(args.get('cold', 0) * 8)}
+        if self.rep.get('endpoints', inc) == row and not self.flight:
+            cb({'status': 200, 'epoch': self.rep.get('meta', 'epoch') or 0})
+            return
+
+        def put(txn):
+            if row['state'] == 'leaving':
+                txn.drop('endpoints', inc)
+                self.gone(inc)
+                return {'status': 200}
+            for other, old in txn.items('endpoints').items():
+                # Why: an address has one incarnation; the newcomer proves that the old one is dead.
+                if other != inc and old['addr'] == row['addr']:
+                    txn.drop('endpoints', other)
+                    self.gone(other)
+            txn.put('endpoints', inc, row)
+            return {'status': 200, 'epoch': txn.get('meta', 'epoch') or 0}
+        self.submit(put, cb)
+
+    def gone(self, inc):
+        self.beats.pop(inc, None)
+        self.goners[inc] = self.now
+        while len(self.goners) > 10000:
+            self.goners.popitem(last=False)
+
+    def tick_endpoints(self):
+        limit = self.now - self.bounds.beat * self.bounds.beats_missed
+        for inc, row in self.rep.get('endpoints').items():
+            if self.beats.get(inc, self.since) < limit:
+                self.probe_endpoint(inc)
+        for inc in [i for i, p in self.probing.items() if self.now - p['at'] > self.bounds.prober * 2]:
+            # Why another: the prober may be the one that is cut off.
+            p = self.probing[inc]
+            p['tried'].append(p['by'])
+            self.probe_endpoint(inc, again=True)
+
+    def probe_endpoint(self, inc, again=False):
+        """Give the duty to probe to one control node, spread by a hash over those that answer."""
+        row = self.rep.get('endpoints', inc)
+        if row is None or (inc in self.probing and not again):
+            if row is None:
+                self.probing.pop(inc, None)
+            return
+        tried = self.probing[inc]['tried'] if again else []
+        fresh = self.now - self.bounds.check * 2
+        nodes = [self.node] + [n for n, p in self.peers.items() if p.role == 'core' and p.ack_at >= fresh]
+        nodes = [n for n in nodes if n not in tried] or nodes
+        by = min(nodes, key=lambda n: hashlib.blake2b(f'{n}/{inc}'.encode()).digest())
+        self.probing[inc] = {'at': self.now, 'by': by, 'tried': tried}
+        self.counts['probes'] += 1
+        if by == self.node:
+            self.run_probe(inc, row['addr'], lambda ok: self.probed(inc, ok))
+        else:
+            self.tell(self.peers[by].addr, 'probe_ep', inc=inc, addr=row['addr'])
+
+    def run_probe(self, inc, addr, cb):
+        self.fetch_no += 1
+        self.fetches[self.fetch_no] = (inc, cb)
+        self.out.append(seam.Fetch(self.fetch_no, addr, inc, 'GET', '/zt/live', {'zt-inc': inc}, b'',
+                                   self.bounds.prober))
+
+    def on_fetched(self, fid, res):
+        inc, cb = self.fetches.pop(fid)
+        # Why the incarnation too: a newcomer on the address answers, but it is not the one we ask for.
+        cb(res.status == 200 and res.headers.get('zt-inc') == inc)
+
+    def m_probe_ep(self, env):
+        addr, inc = env['a'], env['inc']
+        self.run_probe(inc, env['addr'], lambda ok: self.tell(addr, 'probe_ep_re', inc=inc, ok=ok))
+
+    def m_probe_ep_re(self, env):
+        if self.mode == 'leader':
+            self.probed(env['inc'], env['ok'])
+
+    def probed(self, inc, ok):
+        if self.probing.pop(inc, None) is None or self.mode != 'leader':
+            return
+        if ok:
+            self.beats[inc] = self.now
+            return
+        self.log(f'Endpoint {inc} is gone: silent, and the probe failed.')
+
+        def drop(txn):
+            txn.drop('endpoints', inc)
+            self.gone(inc)
+            return {'status': 200}
+        self.submit(drop, lambda res: None)
+
+    def m_suspect(self, env):
+        """A proxy could not connect: evidence worth one probe now."""
+        if self.mode == 'leader':
+            self.probe_endpoint(env['inc'])
+
+    def m_leaving(self, env):
+        """A member will go soon: nothing new for it, its duties to whom it names."""
+        if self.mode != 'leader':
+            return
+        node, successors = env['f'], env['successors']
+
+        def mark(txn):
+            row = txn.get('members', node)
+            if row:
+                txn.put('members', node, dict(row, leaving=True, successors=successors))
+                self.place_duties(txn)
+            return {'status': 200}
+        self.submit(mark, lambda res: None)
+
+    # -- duties -----------------------------------------------------------
+
+    def place_duties(self, txn):
+        """Each pool's keeper: a directory that is there, changed only when it must be."""
+        dirs = {n: m for n, m in txn.items('members').items() if m['role'] == 'dir'}
+        staying = {n: m for n, m in dirs.items() if not m.get('leaving')}
+        pools = {k[6:] for k in txn.items('conf') if k.startswith('pools/')}
+        for key, row in txn.items('duties').items():
+            if key[7:] not in pools:
+                txn.drop('duties', key)
+        for pool in pools:
+            row = txn.get('duties', f'keeper/{pool}')
+            if row and row['holder'] in (staying or dirs):
+                continue
+            cells = txn.items('cells')
+            good = [n for n, m in staying.items() if not (cells.get(m['cell']) or {}).get('evacuated')] or list(staying)
+            if good:
+                # Why the named one first: a holder that goes knows best; a majority only when it can't say.
+                named = (dirs.get(row['holder'], {}).get('successors') or {}).get(pool) if row else None
+                by = named if named in good else min(
+                    good, key=lambda n: hashlib.blake2b(f'{n}/{pool}'.encode()).digest())
+                txn.put('duties', f'keeper/{pool}', {'holder': by, 'addr': dirs[by]['addr'], 'fence': txn.gen,
+                                                     'was': row['holder'] if row else ''})
+
+    def member_gone(self, txn, node):
+        self.place_duties(txn)
+
+    def applied(self, rows):
+        if self.mode == 'leader' and any(r[0] in ('members', 'conf') for r in rows or ()):
+            self.submit(lambda txn: self.place_duties(txn) or {'status': 200}, lambda res: None)
+        if self.mode == 'leader' and any(r[0] == 'events' for r in rows or ()):
+            self.alarm('events', seam.ms(1))
+
+    # -- operations for the others ----------------------------------------
+
+    def serve(self, op, args, cb):
+        try:
+            if op in SERVES:
+                SERVES[op](self, args, cb)
+            elif op in coord.OPS:
+                if op == 'key.watch':
+                    self.serve_watch(args, cb)
+                else:
+                    self.submit(lambda txn: coord.run(self, txn, op, args), cb)
+            else:
+                raise faults.CallFault(404, f'no operation {op}')
+        except faults.CallFault as e:
+            cb({'status': e.status, 'fault': str(e), **e.more})
+
+    def serve_apply(self, args, cb):
+        doc, base, wait = args.get('config'), args.get('base'), args.get('wait', False)
+        if isinstance(base, bool) or not isinstance(base, int):
+            raise faults.CallFault(400, 'base must be the generation that the change was based on')
+
+        def done(res):
+            if res['status'] == 200 and wait:
+                self.waits.append({'at': self.rep.committed, 'since': self.now, 'cb': cb, 'res': res})
+                self.tick_waits()
+            else:
+                cb(res)
+        self.submit(lambda txn: config.apply(txn, doc, base, args['id']), done)
+
+    def tick_waits(self):
+        """Answer who waits for a generation to be in force on every member."""
+        still = []
+        for w in self.waits:
+            behind = [n for n, p in self.peers.items() if p.role != 'core' and p.committed < w['at']]
+            # Why the lease is enough: who has not applied it by then acts on nothing.
+            if not behind or self.now - w['since'] > self.bounds.lease:
+                w['cb'](dict(w['res'], in_force=True, lapsed=behind))
+            else:
+                still.append(w)
+        self.waits = still
+        if self.waits:
+            self.alarm('waits', seam.ms(50))
+
+    def alarm_waits(self):
+        self.tick_waits()
+
+    def serve_config(self, args, cb):
+        def read(txn):
+            return {'status': 200, 'generation': txn.get('meta', 'conf') or 0,
+                    'config': config.from_rows(txn.items('conf'), txn.items('cells'))}
+        self.submit(read, cb)
+
+    def serve_check(self, args, cb):
+        bad = config.check(args.get('config'))
+        if bad:
+            raise faults.CallFault(400, 'invalid configuration', faults=[{'path': p, 'fault': t} for p, t in bad])
+        cb({'status': 200})
+
+    def serve_status(self, args, cb):
+        s = self.status()
+        s['endpoints'] = {inc: dict(row, beat_ms=seam.to_ms(self.now - self.beats.get(inc, self.since)))
+                          for inc, row in self.rep.get('endpoints').items()}
+        s['duties'] = self.rep.get('duties')
+        s['cells'] = self.rep.get('cells')
+        s['epoch'] = self.rep.get('meta', 'epoch')
+        s['rows'] = {t: len(r) for t, r in self.rep.tables.items()}
+        self.fence(lambda ok: cb({'status': 200, 'state': s} if ok else voter.NO_MASTER))
+
+    def serve_watch(self, args, cb):
+        wait = coord.whole(args, 'wait_ms', 0, 20000, 0)
+        w = {'args': args, 'cb': cb, 'until': self.now + seam.ms(wait)}
+        if len(self.watches) >= self.bounds.queue_most:
+            raise faults.CallFault(503, 'too many watches', retry_ms=1000)
+        self.look(w)
+
+    def look(self, w):
+        def seen(res):
+            if res['status'] == 200 and not res['events'] and self.now < w['until'] and self.mode == 'leader':
+                # Why from the head: nothing up to there was for this watch.
+                w['args'] = dict(w['args'], since=max(w['args'].get('since', 0), res['head']))
+                self.watches.append(w)
+            else:
+                w['cb'](res)
+        self.submit(lambda txn: coord.run(self, txn, 'key.watch', w['args']), seen)
+
+    def alarm_events(self):
+        watches, self.watches = self.watches, []
+        for w in watches:
+            self.look(w)
+
+    def tick_watches(self):
+        if any(w['until'] <= self.now for w in self.watches):
+            self.alarm_events()
+
+
+SERVES = {
+    'beat': Core.serve_beat,
+    'config.apply': Core.serve_apply,
+    'config.get': Core.serve_config,
+    'config.check': Core.serve_check,
+    'status': Core.serve_status,
+    'claim': lambda core, args, cb: core.submit(lambda txn: claims.claim(core, txn, args), cb),
+    'close': lambda core, args, cb: core.submit(lambda txn: claims.close(core, txn, args), cb),
+}
--- /dev/null
+++ b/zinctrail/ctl/routes.py
@@ -0,0 +1,83 @@
+"""What directories and proxies read out of the routes: pools, rules, cells, worked out once a generation."""
+
+import zinctrail.agree.partner as partner
+import zinctrail.ctl.config as config
+
+
+class Routes:
+
+    def __init__(self, rep):
+        self.rep = rep
+        self.fresh = False
+
+    def stale(self):
+        self.fresh = False
+
+    def _work_out(self):
+        if self.fresh:
+            return
+        self.fresh = True
+        conf, self.cells = self.rep.get('conf'), self.rep.get('cells')
+        self.ends = self.rep.get('endpoints')
+        self.labels = {inc: self._labels(row, conf) for inc, row in self.ends.items()}
+        self.pools = {}
+        self.shares = {}
+        for key, row in sorted(conf.items()):
+            if key.startswith('pools/'):
+                sel = dict(row.get('selector', {}), service=row['service'])
+                incs = sorted(i for i, labels in self.labels.items() if config.matches(sel, labels))
+                self.pools[key[6:]] = incs
+                for i in incs:
+                    self.shares.setdefault(i, []).append(key[6:])
+        self.rules = sorted(((row.get('order', 1000), key[6:], row) for key, row in conf.items()
+                             if key.startswith('rules/')), key=lambda r: r[:2])
+
+    def _labels(self, row, conf):
+        cell = self.cells.get(row['cell']) or {}
+        # Why in this order: the operator's word on an endpoint beats its own, which beats its cell's.
+        return {**cell.get('labels', {}), **row['labels'], **conf.get(f'labels/{row["addr"]}', {}),
+                'service': row['service'], 'cell': row['cell'], 'region': partner.place_of(self.cells, row['cell'])}
+
+    def region(self, cell):
+        return partner.place_of(self.rep.get('cells'), cell)
+
+    def evacuated(self, cell):
+        return bool((self.rep.get('cells').get(cell) or {}).get('evacuated'))
+
+    def pool(self, name):
+        self._work_out()
+        return self.pools.get(name, ())
+
+    def has_pool(self, name):
+        self._work_out()
+        return name in self.pools
+
+    def rule_for(self, labels):
+        self._work_out()
+        for _, name, row in self.rules:
+            if config.matches(row.get('match', {}), labels):
+                return name, row
+        return None, None
+
+    def end(self, inc):
+        return self.rep.get('endpoints').get(inc)
+
+    def usable(self, inc):
+        """Whether newcomers may go there now."""
+        row = self.end(inc)
+        return row is not None and row['state'] == 'ready' and not self.evacuated(row['cell'])
+
+    def cap(self, inc, pool):
+        """The work an endpoint bears now that is this pool's to give out."""
+        self._work_out()
+        row = self.ends.get(inc)
+        pools = self.shares.get(inc, ())
+        if row is None or pool not in pools:
+            return 0
+        bears = max(1, row['slots'] * (8 - row['cold']) // 8)
+        # Why divided: an endpoint in two pools bears no more than in one.
+        n, left = divmod(bears, len(pools))
+        return n + (1 if pools.index(pool) < left else 0)
+
+    def members(self, role):
+        return {n: m for n, m in self.rep.get('members').items() if m['role'] == role}
--- /dev/null
+++ b/zinctrail/data/passes.py
@@ -0,0 +1,238 @@
+"""The passes a request's record is run over, in order.
+
+A pass returns GO (on to the next), WAIT (parked; somebody resumes it) or
+raises Drop. PASSES is the registry.
+"""
+
+import dataclasses
+import re
+import typing
+
+import zinctrail.ctl.claims as claims
+import zinctrail.req.seal as seal
+import zinctrail.seam as seam
+
+GO, WAIT = True, False
+NOT_RUN, RAN, UNKNOWN = 'not-run', 'ran', 'unknown'
+ID = re.compile(r'[0-9]{1,11}\.[A-Za-z0-9_-]{1,64}\Z')
+PASSES = []
+
+
+class Drop(Exception):
+    """This attempt is given up; `outcome` says what is known of it."""
+
+    def __init__(self, status, text, outcome=NOT_RUN, **more):
+        super().__init__(text)
+        self.status = status
+        self.outcome = outcome
+        self.more = more
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One request's way through the proxy."""
+    rid: typing.Any
+    call: seam.Call
+    came: typing.Any
+    at: int = 0
+    id: str = ''
+    attempt: int = 1
+    until: typing.Any = None
+    home: tuple = ()
+    service: str = ''
+    path: str = ''
+    rule: dict = None
+    pool: str = ''
+    once: bool = True
+    claimed: bool = False
+    nonce: str = ''
+    inc: str = ''
+    tried: set = dataclasses.field(default_factory=set)
+    sends: int = 0
+    fid: int = 0
+    res: seam.Fetched = None
+    asked: bool = False
+    parked: str = ''
+    counted: bool = False
+
+
+def a_pass(fn):
+    PASSES.append(fn)
+    return fn
+
+
+def pairs(text):
+    out = {}
+    for part in text.split(','):
+        k, eq, v = part.strip().partition('=')
+        if part.strip():
+            if not eq or not k:
+                raise Drop(400, 'zt-labels must be k=v, parted by commas')
+            out[k] = v
+    return out
+
+
+@a_pass
+def accept(prox, rec):
+    h = rec.call.headers
+    rec.id = h.get('zt-id', '')
+    # Why first: without its own attempt number nothing true could be said about an attempt.
+    attempt = h.get('zt-attempt', '1')
+    if not attempt.isdigit() or not 1 <= int(attempt) <= 1000:
+        raise Drop(400, 'zt-attempt must be a whole number from 1 to 1000')
+    rec.attempt = int(attempt)
+    if not ID.match(rec.id):
+        raise Drop(400, 'zt-id must be an epoch, a dot and up to 64 letters, digits, - or _')
+    left = h.get('zt-left-ms')
+    if left is not None:
+        if not left.isdigit() or len(left) > 9:
+            raise Drop(400, 'zt-left-ms must be a whole number of milliseconds')
+        if int(left) == 0:
+            raise Drop(504, 'no time left')
+        rec.until = rec.came + seam.ms(int(left))
+    parts = rec.call.path.split('?', 1)[0].split('/', 3)
+    if len(parts) < 3 or parts[1] != 'r' or not parts[2]:
+        raise Drop(404, 'no such page: requests go to /r/SERVICE/...')
+    rec.service = parts[2]
+    rec.path = rec.call.path[len('/r/') + len(rec.service):] or '/'
+    rec.home = tuple(r.strip() for r in h.get('zt-home', '').split(',') if r.strip())
+    if len(prox.table) > prox.bounds.queue_most:
+        raise Drop(503, 'busy', retry_ms=300)
+    if not prox.leased():
+        # Why: what we know may be out of force; whoever holds a lease can serve this.
+        raise Drop(503, 'no lease on the state', elsewhere=prox.elsewhere(rec.home), retry_ms=100)
+    if rec.home and prox.routes.region(prox.place.cell) not in rec.home:
+        raise Drop(403, 'this proxy lies outside the home regions', elsewhere=prox.elsewhere(rec.home))
+    if prox.routes.evacuated(prox.place.cell):
+        raise Drop(503, 'this cell is evacuated', elsewhere=prox.elsewhere(rec.home), retry_ms=100)
+    return GO
+
+
+@a_pass
+def match(prox, rec):
+    labels = pairs(rec.call.headers.get('zt-labels', ''))
+    labels['service'] = rec.service
+    _, rule = prox.routes.rule_for(labels)
+    if rule is None or not prox.routes.has_pool(rule['pool']):
+        raise Drop(404, 'no traffic rule matches')
+    rec.rule, rec.pool, rec.once = rule, rule['pool'], rule.get('run_once', True)
+    limit = rec.came + seam.ms(rule.get('deadline_ms', 5000))
+    # Why the shorter: neither the caller's patience nor the operator's may be passed.
+    rec.until = min(rec.until, limit) if rec.until else limit
+    if prox.now >= rec.until:
+        raise Drop(504, 'no time left')
+    prox.alarm_at('late', rec.until)
+    return GO
+
+
+@a_pass
+def known(prox, rec):
+    """A run-once id this proxy has met: its one run serves every repeat."""
+    if not rec.once:
+        return GO
+    kept = prox.kept.get(rec.id)
+    if kept is None:
+        return GO
+    if kept.outcome is not None:
+        prox.replay(rec, kept)
+        return WAIT
+    if kept.open:
+        # Why only one waits for itself: the record that opened it is not a repeat of itself.
+        kept.waiters.append(rec)
+        rec.parked = 'kept'
+        return WAIT
+    return GO
+
+
+@a_pass
+def claim(prox, rec):
+    if not rec.once or rec.claimed:
+        return GO
+    epoch = prox.rep.get('meta', 'epoch') or 0
+    made = claims.epoch_of(rec.id)
+    # Why not held against the future: the id's maker may have seen a newer epoch than we have.
+    if made <= epoch - prox.bounds.epochs_kept:
+        # Why unknown: it may have run, and its claim is forgotten.
+        raise Drop(409, 'request id of an epoch no longer kept', UNKNOWN, epoch=epoch)
+    prox.open_kept(rec)
+    rec.nonce = f'{prox.node}.{prox.count()}'
+    rec.parked = 'claim'
+    prox.ask('claim', {'id': rec.id, 'attempt': rec.attempt, 'nonce': rec.nonce, 'proxy': prox.node,
+                       'at': prox.place.addr}, lambda res: prox.claim_told(rec, res),
+             min(prox.bounds.call, rec.until - prox.now))
+    return WAIT
+
+
+@a_pass
+def repeat(prox, rec):
+    """Caller's repeats and ours come out of one bound."""
+    if rec.counted:
+        return GO
+    window = prox.window(rec.service)
+    if rec.attempt > 1 or rec.sends:
+        if not window.allow(prox.now, len(prox.routes.members('prox'))):
+            prox.counts['repeats_dropped'] += 1
+            raise Drop(503, 'too many repeats to this service', retry_ms=seam.to_ms(window.retry(prox.now)))
+        prox.counts['repeats'] += 1
+    else:
+        window.first(prox.now)
+    rec.counted = True
+    return GO
+
+
+@a_pass
+def credit(prox, rec):
+    inc = prox.pick(rec)
+    if inc is None:
+        # Why bounded: what can't be done in time had better be told so now.
+        if not prox.may_queue(rec):
+            raise Drop(503, 'no endpoint can take this now', retry_ms=500)
+        prox.queue(rec)
+        return WAIT
+    rec.inc = inc
+    return GO
+
+
+@a_pass
+def send(prox, rec):
+    # Why again: time has passed since the record was accepted.
+    if prox.now >= rec.until:
+        raise Drop(504, 'no time left')
+    if not prox.leased():
+        raise Drop(503, 'no lease on the state', elsewhere=prox.elsewhere(rec.home), retry_ms=100)
+    prox.dispatch(rec)
+    return WAIT
+
+
+@a_pass
+def check(prox, rec):
+    """Is the reply whole, and of this request by this incarnation?"""
+    res = rec.res
+    if not res.sent:
+        prox.suspect(rec.inc)
+        return prox.again(rec, Drop(503, 'the endpoint could not be reached', retry_ms=300))
+    h = res.headers
+    if not res.fault:
+        if h.get('zt-id') != rec.id or h.get('zt-attempt') != str(rec.attempt):
+            res.fault = 'reply to another request'
+        elif h.get('zt-inc') != rec.inc and h.get('zt-outcome') != NOT_RUN:
+            res.fault = 'reply of another incarnation'
+        elif not seal.whole(res.status, h, res.body):
+            res.fault = 'reply altered'
+        elif h.get('zt-outcome') not in (RAN, NOT_RUN):
+            res.fault = 'reply without an outcome'
+    if res.fault:
+        prox.counts['garbled'] += 1
+        lost = Drop(502, f'outcome unknown: {res.fault}', UNKNOWN)
+        if rec.once:
+            raise lost
+        return prox.again(rec, lost)
+    if h['zt-outcome'] == NOT_RUN:
+        return prox.again(rec, Drop(503, 'the endpoint did not run it', retry_ms=300))
+    return GO
+
+
+@a_pass
+def settle(prox, rec):
+    prox.finish(rec)
+    return WAIT
--- /dev/null
+++ b/zinctrail/data/proxy.py
@@ -0,0 +1,505 @@
+"""The proxy: a table of records, passes run over them, and what they lean on."""
+
+import base64
+import collections
+import json
+
+import zinctrail.agree.partner as partner
+import zinctrail.ctl.api as api
+import zinctrail.ctl.claims as claims
+import zinctrail.ctl.routes as routes
+import zinctrail.data.passes as passes
+import zinctrail.data.repeats as repeats
+import zinctrail.req.seal as seal
+import zinctrail.seam as seam
+
+# Why: reply headers that are ours or the connection's, never passed through.
+OWN = ('connection', 'transfer-encoding', 'content-length', 'date', 'server', 'keep-alive')
+# Why: memory for kept outcomes is bounded; a repeat of a forgotten one is told unknown.
+KEPT_MOST = 20000
+KEPT_BYTES = 64 << 20
+
+
+class Kept:
+    """A run-once id as this proxy knows it, and who waits for its outcome."""
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.open = True
+        self.outcome = None
+        self.waiters = []
+        self.asked = []
+
+
+class Pool:
+    """The credit this proxy holds in one pool."""
+
+    def __init__(self):
+        self.fence = 0
+        self.grants = {}
+        self.until = seam.ZERO
+        self.sent = collections.OrderedDict()
+        self.took = 0
+        self.use = collections.Counter()
+        self.queue = collections.deque()
+        self.asked_at = None
+        self.met = collections.Counter()
+
+
+class Prox(partner.Partner):
+    role = 'prox'
+    prefix = 'prox'
+
+    def __init__(self, place, bounds, rng):
+        super().__init__(place, bounds, rng)
+        self.routes = routes.Routes(self.rep)
+        self.table = {}
+        self.kept = collections.OrderedDict()
+        self.kept_bytes = 0
+        self.pools = {}
+        self.windows = {}
+        self.fetches = {}
+        self.broken = {}
+        self.pressure = {}
+        self.counts = collections.Counter()
+        self.no = 0
+        self.incs = set()
+        self.left = False
+        self.asks_kept = {}
+
+    def count(self):
+        self.no += 1
+        return self.no
+
+    # -- requests ---------------------------------------------------------
+
+    def on_http(self, rid, call):
+        if call.path in PAGES:
+            self.out.append(api.outcome(rid, PAGES[call.path](self)))
+            return
+        rec = passes.Record(rid, call, self.now)
+        self.table[rid] = rec
+        self.counts['requests'] += 1
+        self.run(rec)
+
+    def run(self, rec):
+        rec.parked = ''
+        while rec.at < len(passes.PASSES):
+            try:
+                if not passes.PASSES[rec.at](self, rec):
+                    return
+            except passes.Drop as e:
+                self.drop(rec, e)
+                return
+            rec.at += 1
+
+    def resume(self, rec, at=None):
+        """On from the next pass, or from a named one."""
+        rec.at = passes.PASSES.index(at) if at else rec.at + 1
+        self.run(rec)
+
+    def drop(self, rec, e):
+        if rec.rid not in self.table:
+            return
+        if rec.claimed and e.outcome == passes.NOT_RUN:
+            # Why a commit first: the promise must hold against a late copy at any proxy.
+            rec.parked = 'close'
+            self.ask('close', {'id': rec.id, 'nonce': rec.nonce}, lambda res: self.closed(rec, e, res))
+            return
+        self.say(rec, e)
+
+    def closed(self, rec, e, res):
+        if res['status'] != 200:
+            e = passes.Drop(504, f'{e}; could not be made sure of', passes.UNKNOWN)
+        self.say(rec, e)
+
+    def say(self, rec, e):
+        outcome = e.outcome
+        # Why not "not run" for a repeat that nobody has looked up: an earlier attempt may have run.
+        if outcome == passes.NOT_RUN and rec.attempt > 1 and not rec.claimed:
+            outcome = passes.UNKNOWN
+        body = {'outcome': outcome, 'attempt_outcome': e.outcome, 'fault': str(e), **e.more}
+        headers = {'zt-outcome': outcome, 'zt-attempt-outcome': e.outcome, 'zt-id': rec.id[:100],
+                   'zt-attempt': str(rec.attempt), 'content-type': 'application/json'}
+        if 'retry_ms' in e.more:
+            headers['retry-after'] = str(max(1, round(e.more['retry_ms'] / 1000)))
+        text = json.dumps(body).encode()
+        seal.seal(e.status, headers, text)
+        self.counts[outcome] += 1
+        self.done(rec, e.status, headers, text, ran=False)
+
+    def finish(self, rec):
+        h = {k: v for k, v in rec.res.headers.items() if k not in OWN}
+        self.counts[passes.RAN] += 1
+        self.done(rec, rec.res.status, h, rec.res.body, ran=True)
+
+    def done(self, rec, status, headers, body, ran):
+        del self.table[rec.rid]
+        self.out.append(seam.Outcome(rec.rid, status, headers, body))
+        if not rec.nonce:
+            return
+        kept = self.kept.get(rec.id)
+        if kept is None or not kept.open:
+            return
+        kept.open = False
+        unknown = headers['zt-outcome'] == passes.UNKNOWN
+        if ran or unknown:
+            kept.outcome = (status, headers, body)
+            self.kept_bytes += len(body)
+        else:
+            # Why forgotten: its claim is closed, so the next attempt starts anew.
+            del self.kept[rec.id]
+        for w in kept.waiters:
+            if w.rid in self.table:
+                self.replay(w, kept) if kept.outcome else self.resume(w, passes.known)
+        for key, addr in kept.asked:
+            self.tell_kept(addr, key, kept.outcome)
+
+    # -- run once ---------------------------------------------------------
+
+    def open_kept(self, rec):
+        self.kept[rec.id] = Kept(claims.epoch_of(rec.id))
+        while len(self.kept) > KEPT_MOST or self.kept_bytes > KEPT_BYTES:
+            rid, old = next(iter(self.kept.items()))
+            if old.open:
+                break
+            self.forget(rid)
+
+    def forget(self, rid):
+        old = self.kept.pop(rid)
+        if old.outcome:
+            self.kept_bytes -= len(old.outcome[2])
+
+    def claim_told(self, rec, res):
+        if rec.rid not in self.table:
+            return
+        got = res.get('got')
+        if got == 'claimed':
+            rec.claimed = True
+            self.resume(rec)
+        elif got == 'taken':
+            self.ask_holder(rec, res)
+        elif got == 'old':
+            self.drop(rec, passes.Drop(409, 'request id of an epoch no longer kept', passes.UNKNOWN))
+        elif res['status'] == 400:
+            self.drop(rec, passes.Drop(400, res['fault']))
+        else:
+            # Why unknown: the claim may yet be committed, so no promise can be made for a late copy.
+            self.drop(rec, passes.Drop(504, 'no claim in time', passes.UNKNOWN, retry_ms=500))
+
+    def ask_holder(self, rec, res):
+        """Another proxy holds the claim: its outcome is the outcome, nothing runs here."""
+        if res['state'] == 'closed':
+            self.drop(rec, passes.Drop(503, 'an attempt this late does not run', retry_ms=200))
+            return
+        members = self.rep.get('members')
+        if res['by'] == self.node or res['by'] not in members:
+            self.drop(rec, passes.Drop(504, 'ran or not under a proxy that is gone', passes.UNKNOWN))
+            return
+        key = self.count()
+        rec.parked = 'holder'
+        self.asks_kept[key] = rec
+        self.tell(res['at'], 'kept', key=key, id=rec.id)
+
+    def m_kept(self, env):
+        kept = self.kept.get(env['id'])
+        if kept is not None and kept.open:
+            kept.asked.append((env['key'], env['a']))
+        else:
+            self.tell_kept(env['a'], env['key'], kept.outcome if kept else None)
+
+    def tell_kept(self, addr, key, outcome):
+        if outcome:
+            status, headers, body = outcome
+            outcome = [status, headers, base64.b64encode(body).decode()]
+        self.tell(addr, 'kept_re', key=key, outcome=outcome)
+
+    def m_kept_re(self, env):
+        rec = self.asks_kept.pop(env['key'], None)
+        if rec is None or rec.rid not in self.table:
+            return
+        if not env['outcome']:
+            self.drop(rec, passes.Drop(504, 'claimed before, and its outcome is not known', passes.UNKNOWN))
+            return
+        status, headers, body = env['outcome']
+        kept = Kept(claims.epoch_of(rec.id))
+        kept.outcome = (status, headers, base64.b64decode(body))
+        self.replay(rec, kept)
+
+    def replay(self, rec, kept):
+        status, headers, body = kept.outcome
+        # Why its own attempt number: the caller matches the reply to what it sent.
+        headers = seal.seal(status, dict(headers, **{'zt-attempt': str(rec.attempt), 'zt-kept': '1'}), body)
+        self.counts['replayed'] += 1
+        self.done(rec, status, headers, body, ran=True)
+
+    # -- credit -----------------------------------------------------------
+
+    def pool(self, name):
+        return self.pools.setdefault(name, Pool())
+
+    def pick(self, rec):
+        """The endpoint for this record: in credit, allowed, near, least used."""
+        p = self.pool(rec.pool)
+        if p.until <= self.now:
+            return None
+        best = None
+        here, region = self.place.cell, self.routes.region(self.place.cell)
+        for inc, n in p.grants.items():
+            if p.use[inc] >= n or inc in rec.tried or not self.routes.usable(inc):
+                continue
+            if self.broken.get(inc, seam.ZERO) > self.now:
+                continue
+            cell = self.routes.end(inc)['cell']
+            there = self.routes.region(cell)
+            if rec.home and there not in rec.home:
+                continue
+            cost = (there != region, cell != here, p.use[inc] / n, self.rng.random())
+            if best is None or cost < best[0]:
+                best = (cost, inc)
+        return best[1] if best else None
+
+    def may_queue(self, rec):
+        p = self.pool(rec.pool)
+        ends = [i for i in self.routes.pool(rec.pool) if self.routes.usable(i) and i not in rec.tried
+                and (not rec.home or self.routes.region(self.routes.end(i)['cell']) in rec.home)]
+        return bool(ends) and len(p.queue) < self.bounds.queue_most // 2
+
+    def queue(self, rec):
+        p = self.pool(rec.pool)
+        rec.parked = 'credit'
+        p.queue.append(rec)
+        self.want(rec.pool, seam.ms(20))
+
+    def unqueue(self, name):
+        """Give waiting records another look, oldest first."""
+        p = self.pool(name)
+        for _ in range(len(p.queue)):
+            rec = p.queue.popleft()
+            if rec.rid not in self.table or rec.parked != 'credit':
+                continue
+            if self.pick(rec) is None:
+                if self.may_queue(rec):
+                    p.queue.append(rec)
+                else:
+                    self.drop(rec, passes.Drop(503, 'no endpoint can take this now', retry_ms=500))
+            else:
+                self.run(rec)
+
+    def want(self, name, least):
+        """Tell the pool's keeper our demand, not more often than `least`."""
+        p = self.pool(name)
+        duty = self.rep.get('duties', f'keeper/{name}')
+        if duty is None or not self.leased():
+            return
+        if p.asked_at is not None and self.now - p.asked_at < least:
+            self.alarm_at('wants', p.asked_at + least)
+            return
+        p.asked_at = self.now
+        if duty['fence'] > p.fence:
+            p.fence, p.took = duty['fence'], 0
+            p.sent.clear()
+        need = collections.Counter()
+        for home, n in p.met.items():
+            need[home] += n
+        for rec in p.queue:
+            need[','.join(sorted(rec.home))] += 1
+        # Why one to spare: the first request should find credit waiting.
+        need[''] += 1 + sum(1 for n in p.use.values() if n)
+        p.met = collections.Counter({h: n // 2 for h, n in p.met.items() if n > 1})
+        no = self.count()
+        p.sent[no] = self.now
+        while len(p.sent) > 50:
+            p.sent.popitem(last=False)
+        self.tell(duty['addr'], 'want', pool=name, fence=duty['fence'], no=no, took=p.took,
+                  use={i: n for i, n in p.use.items() if n}, need=dict(need),
+                  pressure={i: self.pressure[i] for i in self.routes.pool(name) if i in self.pressure})
+
+    def alarm_wants(self):
+        for name, p in list(self.pools.items()):
+            if p.queue:
+                self.want(name, seam.ms(20))
+
+    def alarm_demand(self):
+        self.alarm('demand', self.bounds.demand)
+        for key in self.rep.get('duties'):
+            self.want(key.removeprefix('keeper/'), seam.ms(20))
+        for name in self.pools:
+            self.unqueue(name)
+
+    def m_credit(self, env):
+        p = self.pool(env['pool'])
+        at = p.sent.get(env['no'])
+        # Why the fence: a keeper that was replaced must not spend what another now gives out.
+        if env['fence'] != p.fence or at is None:
+            return
+        for no in [n for n in p.sent if n <= env['no']]:
+            del p.sent[no]
+        p.grants, p.took = env['grants'], env['seq']
+        # Why from the sending: the keeper counts from later, so we stop before it gives it away.
+        p.until = at + self.bounds.credit
+        self.unqueue(env['pool'])
+
+    def m_collect(self, env):
+        p = self.pool(env['pool'])
+        if env['fence'] < p.fence:
+            return
+        p.fence, p.took = env['fence'], 0
+        p.sent.clear()
+        held = p.grants if p.until > self.now else {}
+        self.tell(env['a'], 'held', pool=env['pool'], fence=env['fence'], held=held,
+                  use={i: n for i, n in p.use.items() if n})
+
+    # -- sending ----------------------------------------------------------
+
+    def dispatch(self, rec):
+        p = self.pool(rec.pool)
+        p.use[rec.inc] += 1
+        p.met[','.join(sorted(rec.home))] += 1
+        rec.sends += 1
+        rec.fid = self.count()
+        self.fetches[rec.fid] = (rec, rec.pool, rec.inc)
+        left = rec.until - self.now
+        headers = {'zt-id': rec.id, 'zt-attempt': str(rec.attempt), 'zt-inc': rec.inc,
+                   'zt-once': '1' if rec.once else '0',
+                   'zt-left-ms': str(max(1, seam.to_ms(left)))}
+        for k in ('content-type', 'accept', 'zt-labels', 'zt-home'):
+            if k in rec.call.headers:
+                headers[k] = rec.call.headers[k]
+        self.counts['sends'] += 1
+        self.out.append(seam.Fetch(rec.fid, self.routes.end(rec.inc)['addr'], rec.inc, rec.call.method, rec.path,
+                                   headers, rec.call.body, left))
+
+    def on_fetched(self, fid, res):
+        rec, pool, inc = self.fetches.pop(fid)
+        self.pool(pool).use[inc] -= 1
+        if 'zt-pressure' in res.headers:
+            try:
+                self.pressure[inc] = min(1000.0, max(0.0, float(res.headers['zt-pressure'])))
+            except ValueError:
+                self.counts['garbled'] += 1
+        if rec.rid in self.table and rec.fid == fid:
+            rec.res = res
+            self.resume(rec)
+        self.unqueue(pool)
+
+    def suspect(self, inc):
+        self.broken[inc] = self.now + seam.ms(3000)
+        if self.master:
+            self.tell(self.master['addr'], 'suspect', inc=inc)
+
+    def again(self, rec, e):
+        """Another try of ours where the rule allows one, else the drop."""
+        rec.tried.add(rec.inc)
+        most = (rec.rule.get('repeat') or {}).get('attempts', 1)
+        # Why one for free: a refused connection reached nobody, so trying next door repeats nothing.
+        free = not rec.res.sent and rec.sends <= 2
+        if (free or rec.sends < most) and self.now < rec.until and self.may_queue(rec):
+            rec.counted = free
+            self.resume(rec, passes.repeat)
+            return passes.WAIT
+        raise e
+
+    # -- time -------------------------------------------------------------
+
+    def on_start(self):
+        super().on_start()
+        self.alarm('demand', self.bounds.demand)
+
+    def alarm_at(self, name, at):
+        self.alarms[name] = min(at, self.alarms.get(name, at))
+
+    def alarm_late(self):
+        for rec in [r for r in self.table.values() if r.until and r.until <= self.now]:
+            if rec.parked in ('credit', 'kept'):
+                # Why unknown for those that wait on another's run: that one may have run.
+                out = passes.NOT_RUN if rec.parked == 'credit' else passes.UNKNOWN
+                self.drop(rec, passes.Drop(504, 'no time left', out))
+            elif rec.parked == 'holder':
+                self.drop(rec, passes.Drop(504, 'the outcome did not come in time', passes.UNKNOWN))
+            elif not rec.parked and rec.fid in self.fetches:
+                self.drop(rec, passes.Drop(504, 'no reply in time', passes.UNKNOWN))
+        times = [r.until for r in self.table.values() if r.until and r.until > self.now]
+        if times:
+            self.alarm_at('late', min(times))
+
+    def window(self, service):
+        return self.windows.setdefault(service, repeats.Window(self.bounds))
+
+    def elsewhere(self, home):
+        """Proxies a dropped caller might try."""
+        out = [m['http'] for n, m in self.routes.members('prox').items()
+               if n != self.node and not m.get('leaving') and not self.routes.evacuated(m['cell'])
+               and (not home or self.routes.region(m['cell']) in home)]
+        return sorted(out)[:5]
+
+    # -- state ------------------------------------------------------------
+
+    def applied(self, rows):
+        self.routes.stale()
+        incs = set(self.rep.get('endpoints'))
+        for inc in sorted(self.incs - incs):
+            # Why closed: whoever has its address next must not get what was meant for it.
+            self.out.append(seam.Close(inc))
+            self.broken.pop(inc, None)
+            self.pressure.pop(inc, None)
+        self.incs = incs
+        epoch = self.rep.get('meta', 'epoch') or 0
+        for rid in [r for r, k in self.kept.items() if k.epoch <= epoch - self.bounds.epochs_kept and not k.open]:
+            self.forget(rid)
+        for key in self.rep.get('duties'):
+            name = key.removeprefix('keeper/')
+            self.want(name, seam.ms(20))
+            self.unqueue(name)
+
+    def on_hung_up(self, rid):
+        """The caller went away. What was sent is sent; its outcome is still kept for a repeat."""
+
+    # -- leaving ----------------------------------------------------------
+
+    def on_stop(self):
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log('Leaves: not ready any more, finishes its work.')
+        if self.master:
+            self.tell(self.master['addr'], 'leaving', successors={})
+        # Why as long as an answer: requesters go on using us until theirs ends.
+        self.alarm('part', self.bounds.answer + self.bounds.check)
+        self.stop_by = self.now + self.bounds.answer + seam.ms(8000)
+
+    def alarm_part(self):
+        if self.table and self.now < self.stop_by:
+            self.alarm('part', seam.ms(100))
+            return
+        if self.master:
+            self.tell(self.master['addr'], 'leave')
+        self.alarm('exit', seam.ms(200))
+
+    def ready(self):
+        if self.stopping:
+            return False, 'leaving'
+        if not self.leased():
+            return False, 'no lease'
+        if self.routes.evacuated(self.place.cell):
+            return False, 'evacuated'
+        return True, ''
+
+    def status(self):
+        s = super().status()
+        s.update(table=len(self.table), kept=len(self.kept), counts=dict(self.counts),
+                 pools={n: {'fence': p.fence, 'granted': sum(p.grants.values()) if p.until > self.now else 0,
+                            'use': sum(p.use.values()), 'queue': len(p.queue)} for n, p in self.pools.items()})
+        return s
+
+
+def page_ready(prox):
+    ok, why = prox.ready()
+    return {'status': 200 if ok else 503, 'ready': ok, 'why': why}
+
+
+PAGES = {
+    '/v1/ready': page_ready,
+    '/v1/live': lambda prox: {'status': 200},
+    '/v1/self': lambda prox: {'status': 200, 'state': prox.status()},
+}
--- /dev/null
+++ b/zinctrail/data/repeats.py
@@ -0,0 +1,51 @@
+"""The repeat bound: a proxy's own share of what a service may be sent again."""
+
+import collections
+import datetime
+
+import zinctrail.seam as seam
+
+
+class Window:
+    """Firsts and repeats of one service over the true last while."""
+
+    def __init__(self, bounds):
+        self.bounds = bounds
+        # Why two spans: with the long one alone, repeats could trail a burst that has left the window.
+        self.spans = [Span(bounds.repeat_window), Span(bounds.repeat_window / 10)]
+
+    def first(self, now):
+        for s in self.spans:
+            s.firsts.append(now)
+
+    def allow(self, now, proxies) -> bool:
+        """Count one repeat if it fits; `proxies` share the small fixed allowance."""
+        # Why floored: the shares of all proxies together must not pass the whole.
+        share = self.bounds.repeat_allowance // max(1, proxies)
+        for s in self.spans:
+            s.slide(now)
+            if len(s.repeats) + 1 > self.bounds.repeat_share * len(s.firsts) + share:
+                return False
+        for s in self.spans:
+            s.repeats.append(now)
+        return True
+
+    def retry(self, now) -> datetime.timedelta:
+        """When a repeat may fit again."""
+        self.spans[0].slide(now)
+        if not self.spans[0].repeats:
+            return seam.ms(500)
+        return max(seam.ms(200), self.spans[0].repeats[0] + self.bounds.repeat_window - now)
+
+
+class Span:
+
+    def __init__(self, length):
+        self.length = length
+        self.firsts = collections.deque()
+        self.repeats = collections.deque()
+
+    def slide(self, now):
+        for q in (self.firsts, self.repeats):
+            while q and q[0] <= now - self.length:
+                q.popleft()
--- /dev/null
+++ b/zinctrail/edge/host.py
@@ -0,0 +1,126 @@
+"""Carries out what a machine returns: sockets, files and alarms, on one loop."""
+
+import collections
+import datetime
+import time
+
+from absl import logging
+
+import zinctrail.edge.web as web
+import zinctrail.edge.wire as wire
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+# Why: one stalled write or pass holds up everything on the loop, so it must be seen.
+STALL = datetime.timedelta(milliseconds=200)
+
+
+class Host:
+
+    def __init__(self, machine, reactor, disk=None):
+        self.machine = machine
+        self.reactor = reactor
+        self.disk = disk
+        self.links = wire.Links(reactor, machine.bounds.frame_most,
+                                lambda env: self.feed('recv', env), lambda addr: self.feed('lost', addr))
+        self.pages = web.Pages(self)
+        self.fetcher = web.Fetcher(reactor)
+        self.inputs = collections.deque()
+        self.busy = False
+        self.call = None
+        self.call_at = None
+        self.ended = False
+        self.stats = collections.Counter()
+
+    def start(self):
+        place = self.machine.place
+        try:
+            self.links.listen(place.addr)
+            host, port = wire.split(place.http)
+            # Why the larger of the two: the same pages take requests and configurations.
+            most = max(self.machine.bounds.body_most, self.machine.bounds.config_most)
+            self.reactor.listenTCP(port, web.site(self.pages, most, self.reactor), interface=host)
+        except Exception as e:
+            raise faults.SettingFault(f'can not listen: {e}') from e
+        self.reactor.addSystemEventTrigger('before', 'shutdown', self.shutdown)
+        self.feed('start')
+
+    def now(self):
+        # Why monotonic: a wall clock that jumps must change no bound.
+        return datetime.timedelta(seconds=time.monotonic())
+
+    def feed(self, kind, *args):
+        if self.ended:
+            return
+        self.inputs.append((kind, args))
+        # Why a queue: an effect may bring the next input before its own list is done.
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.inputs:
+                kind, args = self.inputs.popleft()
+                began = self.now()
+                try:
+                    self.run(self.machine.feed(kind, began, *args))
+                except Exception:
+                    logging.exception('%s: input %s broke.', self.machine.prefix, kind)
+                    self.stats['broke'] += 1
+                took = self.now() - began
+                if took > STALL:
+                    self.stats['stalls'] += 1
+                    logging.warning('%s: loop stalled for %d ms in %s.', self.machine.prefix, seam.to_ms(took), kind)
+        finally:
+            self.busy = False
+        self.set_alarm()
+
+    def set_alarm(self):
+        due = self.machine.due()
+        if due == self.call_at and self.call is not None and self.call.active():
+            return
+        if self.call is not None and self.call.active():
+            self.call.cancel()
+        self.call, self.call_at = None, due
+        if due is not None and not self.ended:
+            self.call = self.reactor.callLater(max(0.0, (due - self.now()).total_seconds()), self.wake)
+
+    def wake(self):
+        self.call = self.call_at = None
+        self.feed('wake')
+
+    def run(self, effects):
+        for e in effects:
+            if isinstance(e, seam.Write):
+                try:
+                    self.disk.write(e.name, e.text, e.gone)
+                    self.stats['writes'] += 1
+                except faults.DiskFault as fault:
+                    # Why the rest is left out: it rests on what was not written.
+                    self.inputs.append(('disk_fault', (str(fault),)))
+                    return
+            else:
+                RUNS[type(e)](self, e)
+
+    def fetch(self, e):
+        d = self.fetcher.fetch(e.inc, e.addr, e.method, e.path, e.headers, e.body, e.wait)
+        d.addCallback(lambda res: self.feed('fetched', e.fid, res))
+
+    def exit(self, e):
+        self.ended = True
+        # Why a moment: what was just sent should get out.
+        self.reactor.callLater(0.05, self.reactor.stop)
+
+    def shutdown(self):
+        self.ended = True
+        self.links.close()
+
+
+RUNS = {
+    seam.Send: lambda host, e: host.links.send(e.addr, e.msg),
+    seam.Outcome: lambda host, e: host.pages.answer(e),
+    seam.Fetch: Host.fetch,
+    seam.Close: lambda host, e: host.fetcher.close(e.inc),
+    seam.Log: lambda host, e: logging.info('%s', e.text),
+    seam.Done: lambda host, e: host.inputs.append(('done', (e.name,))),
+    seam.Exit: Host.exit,
+}
--- /dev/null
+++ b/zinctrail/edge/web.py
@@ -0,0 +1,169 @@
+"""HTTP at the edge: the pages we serve and the calls we make, by twisted.web."""
+
+import io
+
+import twisted.internet.defer as defer
+import twisted.internet.error as neterror
+import twisted.internet.protocol as protocol
+import twisted.python.failure as failure
+import twisted.web.client as client
+
+import twisted.web.http_headers as http_headers
+import twisted.web.resource as resource
+import twisted.web.server as server
+
+import zinctrail.seam as seam
+
+# Why: replies are kept whole in memory until they are checked.
+REPLY_MOST = 8 << 20
+# Why: no caller may hold a connection open for ever, and proxies reuse theirs.
+IDLE = 60
+
+class Request(server.Request):
+    """Counts a body while it comes in, so that it is bounded before it is buffered."""
+
+    most = 1 << 20
+    got = 0
+
+    def gotLength(self, length):
+        super().gotLength(min(length, self.most) if length else length)
+
+    def handleContentChunk(self, data):
+        self.got += len(data)
+        if self.got <= self.most:
+            super().handleContentChunk(data)
+        elif self.got > 16 * self.most:
+            self.loseConnection()
+
+class Pages(resource.Resource):
+    """Hands every call to a machine as one input."""
+
+    isLeaf = True
+
+    def __init__(self, host):
+        super().__init__()
+        self.host = host
+        self.no = 0
+        self.open = {}
+
+    def render(self, request):
+        if request.got > request.most:
+            request.setResponseCode(413)
+            request.setHeader('content-type', 'application/json')
+            request.setHeader('zt-outcome', 'not-run')
+            return b'{"outcome": "not-run", "fault": "body is above the bound"}'
+        self.no += 1
+        rid = self.no
+        self.open[rid] = request
+        request.notifyFinish().addErrback(self.hung_up, rid)
+        headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
+                   for k, v in request.requestHeaders.getAllRawHeaders()}
+        call = seam.Call(request.method.decode('latin-1'), request.uri.decode('latin-1'), headers,
+                         request.content.read())
+        self.host.feed('http', rid, call)
+        return server.NOT_DONE_YET
+
+    def hung_up(self, reason, rid):
+        if self.open.pop(rid, None) is not None:
+            self.host.feed('hung_up', rid)
+
+    def answer(self, out):
+        request = self.open.pop(out.rid, None)
+        if request is None:
+            return
+        write(request, out.status, out.headers, out.body)
+
+def write(request, status, headers, body):
+    request.setResponseCode(status)
+    for k, v in headers.items():
+        request.setHeader(k, v)
+    request.setHeader('content-length', str(len(body)))
+    if request.method != b'HEAD':
+        request.write(body)
+    request.finish()
+
+def site(pages, body_most, reactor):
+    s = server.Site(pages, reactor=reactor, timeout=IDLE)
+    s.noisy = False
+    # Why: twisted's access log is not ours.
+    s.log = lambda request: None
+    s.requestFactory = type('Bounded', (Request,), {'most': body_most})
+    return s
+
+class Body(protocol.Protocol):
+    """Reads a reply to its end, or says why it isn't whole."""
+
+    def __init__(self, done):
+        self.done = done
+        self.parts = []
+        self.size = 0
+
+    def dataReceived(self, data):
+        self.size += len(data)
+        if self.size > REPLY_MOST:
+            self.transport.abortConnection()
+        else:
+            self.parts.append(data)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        if self.size > REPLY_MOST:
+            self.done.callback((b'', 'reply above the bound'))
+        elif reason.check(client.ResponseDone):
+            self.done.callback((b''.join(self.parts), ''))
+        else:
+            # Why PotentialDataLoss too: a reply without an end can't be told from a cut one.
+            self.done.callback((b''.join(self.parts), 'reply cut short'))
+
+class Fetcher:
+    """Calls to endpoints over connections kept per incarnation."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.pools = {}
+        self.opened = 0
+
+    def _agent(self, key):
+        if key not in self.pools:
+            pool = client.HTTPConnectionPool(self.reactor, persistent=True)
+            # Why: a repeat by the library would run a request a second time behind our back.
+            pool.retryAutomatically = False
+            pool.maxPersistentPerHost = 64
+            # Why below the server's: the side that reuses must give up first.
+            pool.cachedConnectionTimeout = IDLE / 2
+            self.pools[key] = (pool, client.Agent(self.reactor, connectTimeout=1, pool=pool))
+        return self.pools[key][1]
+
+    def close(self, key):
+        if key in self.pools:
+            self.pools.pop(key)[0].closeCachedConnections()
+
+    def fetch(self, key, addr, method, path, headers, body, wait):
+        """Deferred seam.Fetched; never fails."""
+        raw = http_headers.Headers({k: [v] for k, v in headers.items()})
+        producer = client.FileBodyProducer(io.BytesIO(body)) if body or method in ('POST', 'PUT') else None
+        try:
+            d = self._agent(key).request(method.encode(), f'http://{addr}{path}'.encode(), raw, producer)
+        except Exception as e:  # Why broad: whatever twisted refuses to send was not sent.
+            return defer.succeed(seam.Fetched(sent=False, fault=f'{type(e).__name__}: {e}'))
+        late = self.reactor.callLater(max(0.001, wait.total_seconds()), d.cancel)
+        d.addCallback(self._read)
+        d.addErrback(self._fault)
+
+        def done(res):
+            if late.active():
+                late.cancel()
+            return res
+        return d.addBoth(done)
+
+    def _read(self, response):
+        whole = defer.Deferred(lambda d: body.transport and body.transport.abortConnection())
+        body = Body(whole)
+        headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
+                   for k, v in response.headers.getAllRawHeaders()}
+        response.deliverBody(body)
+        return whole.addCallback(lambda got: seam.Fetched(response.code, headers, got[0], True, got[1]))
+
+    def _fault(self, reason: failure.Failure):
+        # Why only these: they are raised before a connection exists, so no byte can have gone out.
+        unsent = reason.check(neterror.ConnectError, neterror.ConnectionRefusedError, neterror.DNSLookupError)
+        return seam.Fetched(sent=not unsent, fault=reason.type.__name__)
--- /dev/null
+++ b/zinctrail/edge/wire.py
@@ -0,0 +1,140 @@
+"""Between our processes: netstrings of JSON over TCP, one outgoing connection a partner."""
+
+import collections
+import json
+
+import twisted.internet.protocol as protocol
+import twisted.protocols.basic as basic
+from absl import logging
+
+# Why: a partner that does not read must not fill our memory.
+WAITING_MOST = 1000
+
+
+class Frames(basic.NetstringReceiver):
+    """Both ends; only the listening side is sent frames."""
+
+    def __init__(self, links):
+        self.links = links
+        self.MAX_LENGTH = links.frame_most
+        self.addr = None
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.links.open.add(self)
+
+    def stringReceived(self, data):
+        try:
+            env = json.loads(data)
+            if not isinstance(env, dict):
+                raise ValueError('not an object')
+        except (ValueError, RecursionError) as e:
+            # Why closed: a stream that once went astray can't be trusted further on.
+            logging.warning('wire: frame from %s can not be read: %s.', self.transport.getPeer(), e)
+            self.transport.loseConnection()
+            return
+        if isinstance(env.get('a'), str):
+            self.addr = env['a']
+        self.links.on_frame(env)
+
+    def connectionLost(self, reason=None):
+        self.links.open.discard(self)
+        if self.addr and not self.links.closing:
+            self.links.on_lost(self.addr)
+
+
+class Out(protocol.ReconnectingClientFactory):
+    noisy = False
+
+    def __init__(self, links, addr):
+        self.links = links
+        self.addr = addr
+        self.waiting = collections.deque()
+        self.conn = None
+
+    def buildProtocol(self, addr):
+        self.conn = OutFrames(self)
+        return self.conn
+
+    def clientConnectionFailed(self, connector, reason):
+        self.links.out_gone(self)
+
+    def clientConnectionLost(self, connector, reason):
+        self.links.out_gone(self)
+
+
+class OutFrames(basic.NetstringReceiver):
+
+    def __init__(self, factory):
+        self.factory = factory
+        self.pending = 0
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        q = self.factory.waiting
+        while q:
+            self.sendString(q.popleft())
+
+    def stringReceived(self, data):
+        self.transport.loseConnection()
+
+
+class Links:
+
+    def __init__(self, reactor, frame_most, on_frame, on_lost):
+        self.reactor = reactor
+        self.frame_most = frame_most
+        self.on_frame = on_frame
+        self.on_lost = on_lost
+        self.outs = {}
+        self.open = set()
+        self.closing = False
+        self.sent_frames = 0
+        self.sent_bytes = 0
+        self.sent_kinds = collections.Counter()
+
+    def listen(self, addr):
+        host, port = split(addr)
+        factory = protocol.ServerFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda _: Frames(self)
+        return self.reactor.listenTCP(port, factory, interface=host)
+
+    def send(self, addr, msg):
+        data = json.dumps(msg, separators=(',', ':')).encode()
+        if len(data) > self.frame_most:
+            # Why loud: a frame that can't be carried must not vanish.
+            logging.error('wire: frame %s of %d bytes is above the bound of %d, not sent.',
+                          msg.get('t'), len(data), self.frame_most)
+            return
+        self.sent_frames += 1
+        self.sent_bytes += len(data)
+        self.sent_kinds[msg.get('t')] += len(data)
+        out = self.outs.get(addr)
+        if out is None:
+            out = self.outs[addr] = Out(self, addr)
+            host, port = split(addr)
+            self.reactor.connectTCP(host, port, out, timeout=1)
+        if out.conn is not None and out.conn.transport is not None and out.conn.connected:
+            out.conn.sendString(data)
+        elif len(out.waiting) < WAITING_MOST:
+            out.waiting.append(data)
+
+    def out_gone(self, out):
+        if self.outs.get(out.addr) is out:
+            del self.outs[out.addr]
+        if not self.closing:
+            self.on_lost(out.addr)
+
+    def close(self):
+        self.closing = True
+        for out in list(self.outs.values()):
+            if out.conn is not None and out.conn.transport is not None:
+                out.conn.transport.loseConnection()
+        for conn in list(self.open):
+            conn.transport.loseConnection()
+
+
+def split(addr):
+    host, _, port = addr.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/zinctrail/faults.py
@@ -0,0 +1,46 @@
+"""The exception tree. Each layer has its own branch and turns those from below."""
+
+
+class Fault(Exception):
+    """Anything zinctrail says went wrong."""
+
+
+class ConfigFault(Fault):
+    """An operator's document is invalid; `faults` lists every (path, text)."""
+
+    def __init__(self, faults):
+        super().__init__('; '.join(f'{path}: {text}' for path, text in faults))
+        self.faults = list(faults)
+
+
+class SettingFault(Fault):
+    """A flag or flagfile value is unusable."""
+
+
+class AgreeFault(Fault):
+    """The agreement layer refused something."""
+
+
+class DiskFault(Fault):
+    """A write did not reach the disk."""
+
+
+class DamageFault(DiskFault):
+    """Something once acknowledged can no longer be read back whole."""
+
+
+class WireFault(Fault):
+    """A frame from a partner can't be used."""
+
+
+class CallFault(Fault):
+    """A call over HTTP was malformed; `status` is what the caller is told."""
+
+    def __init__(self, status, text, **more):
+        super().__init__(text)
+        self.status = status
+        self.more = more
+
+
+class RequestFault(Fault):
+    """The requester library could not bring a request to an outcome."""
--- /dev/null
+++ b/zinctrail/prog/ztctl.py
@@ -0,0 +1,253 @@
+"""ztctl: the operators' command.
+
+  ztctl --at=IP:PORT[,IP:PORT] COMMAND ...
+
+  status                            master, term, generation, members, leases, endpoints
+  self                              what the process at --at itself knows
+  ready                             exit 0 if it is ready
+  get                               the configuration in force, fenced
+  check FILE                        every fault of a configuration (- is standard input)
+  apply FILE [--base=N]             bring it into force; based on the present one unless told
+  label ADDR K=V ... [K- ...]       set or remove labels of an endpoint
+  cell CELL [region=R] [K=V] [K-]   set a cell's region and labels
+  evacuate CELL | return CELL       take a cell's traffic away, or give it back
+  lock take|free|get NAME [HOLDER]  locks
+  number NAME                       the next number
+  key get|put|drop KEY [VALUE]      keys; --rev=N to compare and set
+  watch PREFIX [SINCE]              events, a line each, until interrupted (--once: one call)
+
+Exit: 0 done, 1 refused or failed, 2 wrong use, 3 conflict, 4 nobody answers.
+"""
+
+import http.client
+import json
+import os
+import sys
+import time
+import uuid
+
+import absl.flags
+
+import zinctrail.ctl.core as core
+import zinctrail.edge.main as main
+
+FLAGS = absl.flags.FLAGS
+DONE, FAILED, USAGE, CONFLICT, NOBODY = 0, 1, 2, 3, 4
+
+
+class Stop(Exception):
+    def __init__(self, code, text):
+        super().__init__(text)
+        self.code = code
+
+
+def call(method, path, body=None, wait=30):
+    """Ask the first of --at that answers."""
+    last = 'no address in --at'
+    for at in FLAGS.at:
+        host, _, port = at.rpartition(':')
+        conn = http.client.HTTPConnection(host, int(port), timeout=wait)
+        try:
+            conn.request(method, path, json.dumps(body) if body is not None else None,
+                         {'content-type': 'application/json'})
+            res = conn.getresponse()
+            return res.status, json.loads(res.read())
+        except (OSError, http.client.HTTPException, ValueError) as e:
+            last = f'{at}: {e}'
+            # Why stop: a change that was sent may be in force, and asking another could act twice.
+            if method != 'GET' and not isinstance(e, ConnectionRefusedError):
+                raise Stop(NOBODY, f'{last}; it may or may not have been done')
+        finally:
+            conn.close()
+    raise Stop(NOBODY, last)
+
+
+def must(got):
+    status, doc = got
+    if status == 200:
+        return doc
+    for f in doc.get('faults', ()):
+        print(f'{f["path"]}: {f["fault"]}', file=sys.stderr)
+    raise Stop(CONFLICT if status == 409 else FAILED, doc.get('fault', f'status {status}'))
+
+
+def show(doc):
+    print(json.dumps(doc, indent=2, sort_keys=True))
+
+
+def read_file(name):
+    try:
+        with (sys.stdin if name == '-' else open(name, encoding='utf-8')) as f:
+            return json.load(f)
+    except (OSError, ValueError) as e:
+        raise Stop(FAILED, f'{name}: {e}')
+
+
+def put(config, base):
+    doc = must(call('PUT', '/v1/config', {'config': config, 'base': base, 'wait': FLAGS.wait}))
+    print(f'generation {doc["generation"]}' + (' in force' if doc.get('in_force') else ' accepted'))
+
+
+def change(fn):
+    """Read, change, apply on the generation that was read."""
+    doc = must(call('GET', '/v1/config'))
+    fn(doc['config'])
+    put(doc['config'], doc['generation'])
+
+
+def set_labels(labels, words):
+    for w in words:
+        k, eq, v = w.partition('=')
+        if eq and k:
+            labels[k] = v
+        elif w.endswith('-') and not eq:
+            labels.pop(w[:-1], None)
+        else:
+            raise Stop(USAGE, f'{w}: must be K=V or K-')
+
+
+def do_label(args):
+    need(args, 2)
+    change(lambda doc: set_labels(doc['labels'].setdefault(args[0], {}), args[1:]))
+
+
+def do_cell(args):
+    need(args, 2)
+
+    def fn(doc):
+        row = doc['cells'].setdefault(args[0], {})
+        for w in [w for w in args[1:] if w.startswith('region=')]:
+            row['region'] = w.partition('=')[2]
+        set_labels(row.setdefault('labels', {}), [w for w in args[1:] if not w.startswith('region=')])
+    change(fn)
+
+
+def do_evacuate(args, yes=True):
+    need(args, 1)
+    change(lambda doc: doc['cells'].setdefault(args[0], {}).update(evacuated=yes))
+
+
+def do_apply(args):
+    need(args, 1)
+    config = read_file(args[0])
+    base = FLAGS.base if FLAGS.base is not None else must(call('GET', '/v1/config'))['generation']
+    put(config, base)
+
+
+def do_check(args):
+    need(args, 1)
+    must(call('POST', '/v1/config/check', {'config': read_file(args[0])}))
+    print('valid')
+
+
+def do_status(args):
+    show(must(call('GET', '/v1/status'))['state'])
+
+
+def do_get(args):
+    doc = must(call('GET', '/v1/config'))
+    print(f'generation {doc["generation"]}', file=sys.stderr)
+    show(doc['config'])
+
+
+def do_ready(args):
+    doc = must(call('GET', '/v1/ready'))
+    print('ready' if doc['ready'] else doc['why'])
+
+
+def call_id():
+    # Why read first: the id must tell an epoch that the core still keeps.
+    epoch = must(call('GET', '/v1/status'))['state']['epoch'] or 0
+    return f'{epoch}.{uuid.uuid4().hex}'
+
+
+def do_lock(args):
+    need(args, 2)
+    verb, name = args[:2]
+    if verb == 'get':
+        return show(must(call('POST', '/v1/lock/get', {'name': name})))
+    need(args, 3)
+    if verb not in ('take', 'free'):
+        raise Stop(USAGE, f'lock {verb}: must be take, free or get')
+    body = {'name': name, 'holder': args[2]}
+    if verb == 'take':
+        body['lease_ms'] = FLAGS.lock_ms
+    show(must(call('POST', f'/v1/lock/{verb}', body)))
+
+
+def do_number(args):
+    need(args, 1)
+    print(must(call('POST', '/v1/number/next', {'name': args[0], 'id': call_id()}))['number'])
+
+
+def do_key(args):
+    need(args, 2)
+    verb, key = args[:2]
+    if verb == 'get':
+        return show(must(call('POST', '/v1/key/get', {'key': key})))
+    body = {'key': key, 'id': call_id()}
+    if FLAGS.rev is not None:
+        body['rev'] = FLAGS.rev
+    if verb == 'put':
+        need(args, 3)
+        body['value'] = args[2]
+    elif verb != 'drop':
+        raise Stop(USAGE, f'key {verb}: must be get, put or drop')
+    show(must(call('POST', f'/v1/key/{verb}', body)))
+
+
+def do_watch(args):
+    need(args, 1)
+    since = int(args[1]) if len(args) > 1 and args[1].isdigit() else None
+    if since is None:
+        status, doc = call('POST', '/v1/key/get', {'key': args[0]})
+        since = doc.get('head', 0)
+    while True:
+        doc = must(call('POST', '/v1/key/watch', {'prefix': args[0], 'since': since, 'wait_ms': 10000}))
+        for e in doc['events']:
+            print(json.dumps(e), flush=True)
+        since = doc['head']
+        if FLAGS.once:
+            return
+        time.sleep(0.05)
+
+
+def need(args, n):
+    if len(args) < n:
+        raise Stop(USAGE, 'too few words; see --help')
+
+
+COMMANDS = {
+    'status': do_status, 'get': do_get, 'check': do_check, 'apply': do_apply, 'label': do_label, 'cell': do_cell,
+    'evacuate': do_evacuate, 'return': lambda args: do_evacuate(args, False), 'ready': do_ready,
+    'self': lambda args: show(must(call('GET', '/v1/self'))['state']),
+    'lock': do_lock, 'number': do_number, 'key': do_key, 'watch': do_watch,
+}
+
+
+def run():
+    absl.flags.DEFINE_list('at', [], 'IP:PORT of HTTP of any ztcore or ztdir (or ZTCTL_AT).')
+    absl.flags.DEFINE_integer('base', None, 'The generation that the change is based on.')
+    absl.flags.DEFINE_bool('wait', True, 'Wait until a change is in force everywhere.')
+    absl.flags.DEFINE_integer('rev', None, 'The revision a key must be at (0: must not exist).')
+    absl.flags.DEFINE_integer('lock_ms', 5000, 'How long a lock is taken for.')
+    absl.flags.DEFINE_bool('once', False, 'watch: one call only.')
+    args = main.parse(__doc__)
+    if not FLAGS.at:
+        FLAGS.at = [a for a in os.environ.get('ZTCTL_AT', '').split(',') if a]
+    try:
+        if not args or args[0] not in COMMANDS:
+            raise Stop(USAGE, f'no command {args[0]}; see --help' if args else 'no command; see --help')
+        if not FLAGS.at or not all(core.is_addr(a) for a in FLAGS.at):
+            raise Stop(USAGE, '--at: must be IP:PORT[,IP:PORT]')
+        COMMANDS[args[0]](args[1:])
+    except Stop as e:
+        print(f'ztctl: {e}', file=sys.stderr)
+        sys.exit(e.code)
+    except KeyboardInterrupt:
+        sys.exit(130)
+    sys.exit(DONE)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/zinctrail/seam.py
@@ -0,0 +1,135 @@
+"""The seam between the core without I/O and what touches sockets, files and alarms.
+
+A machine takes one input at a time and returns the effects to carry out, in
+order. A host (edge.host or sim.world) carries them out. An effect behind a
+Write must not happen unless that Write is durable.
+"""
+
+import dataclasses
+import datetime
+import typing
+
+ZERO = datetime.timedelta(0)
+
+
+def ms(n: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=n)
+
+
+def to_ms(td: datetime.timedelta) -> int:
+    return int(td / datetime.timedelta(milliseconds=1))
+
+
+@dataclasses.dataclass(slots=True)
+class Send:
+    addr: str
+    msg: dict
+
+
+@dataclasses.dataclass(slots=True)
+class Write:
+    """Bring `text` durably to file `name`, then forget the files in `gone`."""
+    name: str
+    text: str
+    gone: tuple = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """Answer the HTTP call `rid`."""
+    rid: typing.Any
+    status: int
+    headers: dict
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Fetch:
+    """Make an HTTP call to an endpoint; the host feeds `fetched` with a Fetched."""
+    fid: int
+    addr: str
+    inc: str
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    wait: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True)
+class Fetched:
+    """`sent` is False only if it is certain that no byte went out."""
+    status: int = 0
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    sent: bool = True
+    fault: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Close:
+    """Close the connections kept for an incarnation."""
+    inc: str
+
+
+@dataclasses.dataclass(slots=True)
+class Log:
+    text: str
+
+
+@dataclasses.dataclass(slots=True)
+class Done:
+    """Reached only if every Write before it was durable; the host feeds `done`."""
+    name: str
+
+
+@dataclasses.dataclass(slots=True)
+class Exit:
+    code: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """An HTTP call as machines see it; header names are in lower case."""
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+class Machine:
+    """Base of every state machine: effects out, named alarms, one input at a time."""
+
+    prefix = 'zt'
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.now = ZERO
+        self.out = []
+        self.alarms = {}
+
+    def feed(self, kind: str, now: datetime.timedelta, *args) -> list:
+        # Why max: a host's clock is monotonic, but hosts may hand in equal or stale stamps.
+        self.now = max(self.now, now)
+        getattr(self, 'on_' + kind)(*args)
+        out, self.out = self.out, []
+        return out
+
+    def due(self) -> typing.Optional[datetime.timedelta]:
+        return min(self.alarms.values(), default=None)
+
+    def on_wake(self):
+        for name, at in sorted(self.alarms.items(), key=lambda kv: kv[1]):
+            # Why look again: an earlier alarm of this wake may have moved or dropped this one.
+            if at <= self.now and self.alarms.get(name) == at:
+                del self.alarms[name]
+                getattr(self, 'alarm_' + name)()
+
+    def alarm(self, name, delay):
+        self.alarms[name] = self.now + delay
+
+    def send(self, addr, msg):
+        self.out.append(Send(addr, msg))
+
+    def log(self, text):
+        self.out.append(Log(f'{self.prefix}: {text}'))
