Checkers see arrivals, not runs; a new connection is asked who is there

Cause: endpoints of the simulator defended themselves, so that what proxies sent wrongly was refused and never counted. Checkers now judge every request that arrives, at plain endpoints too; keys and numbers by a linearizability search; locks by every pair; service-back by service and by share. Found first by it: a new connection to an address reaches whoever listens there. Ruled out: Expect: 100-continue (arrives all the same), dropping by the newcomer's library (plain endpoints have none). Cost: one short call a connection, no further connection.

--- a/features/steps/days_steps.py
+++ b/features/steps/days_steps.py
@@ -14,9 +14,7 @@
 import zinctrail.data.proxy as proxy
 import zinctrail.data.repeats as repeats
 import zinctrail.req.seal as seal
-import zinctrail.req.serving as serving
 import zinctrail.seam as seam
-import zinctrail.sim.cast as cast
 import zinctrail.sim.days as days
 import zinctrail.sim.world as world
 
@@ -24,10 +22,10 @@
 NEEDS_APPS = ('locks', 'numbers', 'keys', 'watches')
 
 
-def day(names, seed, checker=None):
-    apps = checker is None or checker in NEEDS_APPS
-    d = days.Day(seed, names, length=ms(15000), coord=apps, bound=bounds.Bounds(),
-                 wild=0.5 if checker else 0.1, rate=60 if checker else None)
+def day(names, seed, checker, plain=True):
+    """Plain endpoints keep to the interface and defend nothing: what holds with them is ours."""
+    d = days.Day(seed, names, length=ms(15000), coord=checker in NEEDS_APPS, bound=bounds.Bounds(),
+                 wild=0.5, rate=60, plain=plain, drift=0.02)
     return d.run()
 
 
@@ -104,21 +102,19 @@
 
 
 GUARDS = {
-    'claims': lambda: off(core.claims, 'claim', claim_always) + off(proxy.Prox, 'open_kept', lambda self, rec: None)
-    + off(cast.End, 'remembers', False),
+    'claims': lambda: off(core.claims, 'claim', claim_always) + off(proxy.Prox, 'open_kept', lambda self, rec: None),
     'unknown outcomes': lambda: off(proxy.Prox, 'say', drop_as_not_run),
     'closing claims': lambda: off(proxy.Prox, 'say', drop_as_not_run),
     'the seal': lambda: off(seal, 'whole', lambda *a: True),
     'view leases': no_lease_needed,
-    'incarnations': lambda: off(cast.End, 'guarded', False),
+    'asking who is there': lambda: off(world.World, 'verifies', False),
     'publishing to proxies': lambda: off(proxy.Prox, 'applied', lambda self, rows: None)
     + off(routes.Routes, 'stale', lambda self: None),
     'syncing': lambda: off(world.Disk, 'syncs', False),
     'all or nothing': lambda: off(config, 'apply', half_applied) + off(voter.Txn, 'run', run_without_rollback),
     'bases': lambda: off(config, 'apply', any_base),
     'evacuation': lambda: off(routes.Routes, 'evacuated', lambda self, cell: False),
-    'warmth': lambda: off(routes.Routes, 'cap', lambda self, inc, pool: 8)
-    + off(serving.Serving, 'full', lambda self: False),
+    'warmth': lambda: off(routes.Routes, 'cap', lambda self, inc, pool: 8),
     'the repeat bound': lambda: off(repeats.Window, 'allow', lambda self, now, proxies: True),
     'home': lambda: off(routes.Routes, 'region', lambda self, cell: 'r0'),
     'lock terms': lambda: [mock.patch.dict(coord.OPS, {'lock.take': (sooner, False)})],
@@ -139,8 +135,8 @@
     for seed in context.seeds:
         d = day(context.names, seed, checker)
         assert d.verdicts(checker) == [], (d.verdicts(checker)[:5], d.again())
-        # Why: a day in which nothing was served would prove nothing.
-        assert len(d.cast.notes.runs) > 500, d.cast.tally()
+        # Why: a day in which nothing was served, or no fault found its mark, would prove nothing.
+        assert len(d.cast.notes.runs) > 500 and not d.missed, (d.cast.tally(), d.missed)
 
 
 @behave.then('with guard {guard} off it finds something')
--- a/zinctrail/bench.py
+++ b/zinctrail/bench.py
@@ -6,10 +6,12 @@
   python -m zinctrail.bench fleet [N]        a real fleet: requests, the gap after N killed masters,
                                              service after N times everything was killed
   python -m zinctrail.bench rolling          every process restarted in turn with all seeds swapped, under load
+  python -m zinctrail.bench long [MINUTES]   a small fleet under load, changes and restarts: what grows (a line a minute)
 """
 
 import contextlib
 import json
+import os
 import random
 import signal
 import sys
@@ -213,6 +215,51 @@
         return {'restarted': len(codes), 'codes': sorted(set(codes)), **f.report()}
 
 
+def long(minutes=60):
+    """Memory, files and rows over time; the third of each role is restarted, the others never."""
+    with loaded() as f:
+        rng = random.Random(3)
+        began = time.monotonic()
+        for minute in range(1, minutes + 1):
+            p = f.procs[rng.choice(('core2', 'dir2', 'prox2'))]
+            p.signal(rng.choice((signal.SIGTERM, signal.SIGKILL)))
+            p.pop.wait(60)
+            p.start()
+            for _ in range(3):
+                doc = f.call('GET', '/v1/config')[1]
+                if doc:
+                    doc['config']['labels'][f'10.9.9.{rng.randrange(200)}:1'] = {'at': str(minute)}
+                    f.call('PUT', '/v1/config', {'config': doc['config'], 'base': doc['generation']}, wait=10)
+                time.sleep(max(0.0, began + 60 * minute - time.monotonic()) / 4)
+            time.sleep(max(0.0, began + 60 * minute - time.monotonic()))
+            print(json.dumps({'minute': minute, **f.report(), **growth(f)}), flush=True)
+        return f.report()
+
+
+def growth(f):
+    """What of a fleet could grow without end."""
+    out = {'rss_mb': {}, 'files': {}, 'folder_kb': {}, 'prox': {}}
+    for name, p in f.procs.items():
+        try:
+            with open(f'/proc/{p.pop.pid}/statm') as at:
+                out['rss_mb'][name] = round(int(at.read().split()[1]) * 4096 / (1 << 20), 1)
+        except OSError:
+            continue
+        if p.role == 'core':
+            sizes = [e.stat().st_size for e in os.scandir(os.path.join(f.folder, name))]
+            out['files'][name], out['folder_kb'][name] = len(sizes), sum(sizes) >> 10
+        if p.role == 'prox':
+            s = ask_self(p)
+            out['prox'][name] = {k: s.get(k) for k in ('table', 'kept')}
+    status, doc = f.call('GET', '/v1/status')
+    out['rows'] = doc['state']['rows'] if status == 200 else {}
+    return out
+
+
+def ask_self(p):
+    return fleet.ask(p.http, 'GET', '/v1/self')[1].get('state', {})
+
+
 def ask_ready(p):
     return fleet.ask(p.http, 'GET', '/v1/ready')[0] == 200
 
@@ -222,14 +269,14 @@
         print(__doc__.strip())
         return 0 if argv[:1] == ['--help'] else 2
     fn, kind = BENCHES[argv[0]]
-    if argv[0] in ('claims', 'fleet', 'rolling'):
+    if argv[0] in ('claims', 'fleet', 'rolling', 'long'):
         threading.Thread(target=reactor.run, kwargs={'installSignalHandlers': False}, daemon=True).start()
     print(json.dumps(fn(*[kind(a) for a in argv[1:2]]), indent=1))
     return 0
 
 
 BENCHES = {'gap': (gap, int), 'bytes': (bytes_per_change, str), 'claims': (claims, int), 'fleet': (real, int),
-           'rolling': (rolling, str)}
+           'rolling': (rolling, str), 'long': (long, int)}
 
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -25,7 +25,7 @@
         self.links = wire.Links(reactor, machine.bounds.frame_most,
                                 lambda env: self.feed('recv', env), lambda addr: self.feed('lost', addr))
         self.pages = web.Pages(self)
-        self.fetcher = web.Fetcher(reactor)
+        self.fetcher = web.Fetcher(reactor, verifies=True)
         self.inputs = collections.deque()
         self.busy = False
         self.call = None
@@ -36,7 +36,7 @@
 
     def figures(self):
         """What only the host knows, for the status pages."""
-        return {**self.stats, 'opened': self.fetcher.by_number.opened, 'frames': self.links.sent_frames,
+        return {**self.stats, 'opened': self.fetcher.by_number.opened, 'asked': self.fetcher.asked, 'frames': self.links.sent_frames,
                 'bytes': self.links.sent_bytes, 'kinds': dict(self.links.sent_kinds),
                 'rss_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
 
--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -6,6 +6,7 @@
 import twisted.internet.endpoints as endpoints
 import twisted.internet.error as neterror
 import twisted.internet.protocol as protocol
+import twisted.internet.task as task
 import twisted.python.failure as failure
 import twisted.web.client as client
 
@@ -21,6 +22,8 @@
 REPLY_MOST = 8 << 20
 # Why: no caller may hold a connection open for ever, and proxies reuse theirs.
 IDLE = 60
+# Where an endpoint tells who it is.
+LIVE = '/zt/live'
 
 class Request(server.Request):
     """Counts a body while it comes in, so that it is bounded before it is buffered."""
@@ -146,17 +149,60 @@
         return super().connect(factory)
 
 
+class Stranger(Exception):
+    """A new connection's other side is not, or can't be shown to be, the incarnation meant."""
+
+
+class Known(client.HTTPConnectionPool):
+    """Connections to one incarnation, each asked once who is there.
+
+    Why: whoever listens on a dead endpoint's address would else get the first
+    request of every new connection, and could only be told apart afterwards.
+    """
+
+    def __init__(self, fetcher, inc):
+        super().__init__(fetcher.reactor, persistent=True)
+        self.fetcher = fetcher
+        self.inc = inc.encode()
+
+    @defer.inlineCallbacks
+    def getConnection(self, key, endpoint):
+        # Why bounded: another request may take the one just asked; a server that closes each gives none.
+        for _ in range(8):
+            conn = yield super().getConnection(key, endpoint)
+            if getattr(conn, 'zt_inc', None) == self.inc:
+                return conn
+            self.fetcher.asked += 1
+            try:
+                response = yield conn.request(client.Request(
+                    b'GET', LIVE.encode(), http_headers.Headers({b'host': [b'%s:%d' % key[1:]], b'zt-inc': [self.inc]}),
+                    None, persistent=True))
+                yield client.readBody(response)
+            except Exception as e:  # Why broad: whatever went wrong, the request itself has not been sent.
+                conn.abort()
+                raise Stranger(f'not asked: {type(e).__name__}') from e
+            if response.headers.getRawHeaders(b'zt-inc', [b''])[0] != self.inc:
+                raise Stranger('another incarnation')
+            # Why taken anew: once its reply was read, the connection went back to the pool by itself.
+            conn.zt_inc = self.inc
+            yield task.deferLater(self.fetcher.reactor, 0)
+        raise Stranger('no connection stays open')
+
+
 class Fetcher:
-    """Calls to endpoints over connections kept per incarnation."""
+    """Calls over kept connections. With `verifies`, keys are incarnations, and connections known to be theirs."""
 
-    def __init__(self, reactor):
+    def __init__(self, reactor, verifies=False):
         self.reactor = reactor
+        self.verifies = verifies
         self.pools = {}
         self.by_number = ByNumber(reactor)
+        self.asked = 0
 
     def _agent(self, key):
         if key not in self.pools:
-            pool = client.HTTPConnectionPool(self.reactor, persistent=True)
+            known = self.verifies and key != LIVE
+            pool = Known(self, key) if known else client.HTTPConnectionPool(self.reactor, persistent=True)
             # Why: a repeat by the library would run a request a second time behind our back.
             pool.retryAutomatically = False
             pool.maxPersistentPerHost = 64
@@ -172,6 +218,8 @@
 
     def fetch(self, key, addr, method, path, headers, body, wait):
         """Deferred seam.Fetched; never fails."""
+        # Why apart: a probe is itself the question who is there.
+        key = LIVE if path == LIVE else key
         raw = http_headers.Headers({k: [v] for k, v in headers.items()})
         producer = client.FileBodyProducer(io.BytesIO(body)) if body or method in ('POST', 'PUT') else None
         try:
@@ -198,5 +246,7 @@
 
     def _fault(self, reason: failure.Failure):
         # Why only these: they are raised before a connection exists, so no byte can have gone out.
-        unsent = reason.check(neterror.ConnectError, neterror.ConnectionRefusedError, neterror.DNSLookupError)
+        # A stranger was only asked who he is.
+        unsent = reason.check(neterror.ConnectError, neterror.ConnectionRefusedError, neterror.DNSLookupError,
+                              Stranger)
         return seam.Fetched(sent=not unsent, fault=reason.type.__name__)
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -45,7 +45,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Fetch:
-    """Make an HTTP call to an endpoint; the host feeds `fetched` with a Fetched."""
+    """Make an HTTP call to one incarnation of an endpoint; the host feeds `fetched` with a Fetched.
+
+    The host asks a new connection's other side who it is before the first
+    request goes over it: a newcomer on the address must not get even one.
+    """
     fid: int
     addr: str
     inc: str
--- a/zinctrail/sim/cast.py
+++ b/zinctrail/sim/cast.py
@@ -23,9 +23,12 @@
 
     def __init__(self):
         self.replies = []
+        # Every request that reached an endpoint, also one that it then refused; those that ran.
+        self.arrivals = []
         self.runs = []
-        self.sends = []
         self.states = []
+        # When an incarnation was first seen to be missing from the status page, or told so by a 410.
+        self.gone = {}
         self.applies = []
         self.reads = []
         self.evacuations = []
@@ -34,14 +37,19 @@
         self.keys = []
         self.watches = []
         self.losses = []
+        self.begins = []
 
 
-class End:
-    """A stand-in endpoint with the real library's judgement inside."""
+class Plain(serving.Serving):
+    """Keeps to docs/interface.md and to nothing more: it refuses nothing and remembers nothing."""
+
+    def accept(self, headers):
+        self.running += 1
+        return None
 
-    # Guards of the library that a test may switch off.
-    guarded = True
-    remembers = True
+
+class End:
+    """A stand-in endpoint: with the real library's judgement inside, or plain."""
 
     def __init__(self, cast, name, addr, service, cell, slots=8, labels=None, beats=True):
         self.cast, self.world, self.name, self.addr = cast, cast.world, name, addr
@@ -59,8 +67,10 @@
     def start(self):
         self.life += 1
         self.up = True
-        self.serving = serving.Serving(self.addr, self.service, self.cell, self.slots, self.labels, self.world.rng)
+        kind = Plain if self.cast.plain else serving.Serving
+        self.serving = kind(self.addr, self.service, self.cell, self.slots, self.labels, self.world.rng)
         self.serving.cold = self.cold
+        self.incs = {self.serving.inc}
         self.running = 0
         self.began = self.world.now
         self.world.ends[self.addr] = self
@@ -101,8 +111,10 @@
                 return
             if res.status == 200 and state != 'ready':
                 self.cast.notes.states.append((self.world.now, sent, inc, state))
-            if res.status == 410:
+            if res.status == 410 and self.serving.inc == inc:
+                self.cast.notes.gone.setdefault(inc, self.world.now)
                 self.serving.mint()
+                self.incs.add(self.serving.inc)
             if res.status != 200:
                 self.world.after(ms(100), self.beat, life, True)
         d.addCallback(told)
@@ -115,20 +127,18 @@
             return
         h = call.headers
         notes, now = self.cast.notes, self.world.now
-        notes.sends.append((now, h['zt-id'], int(h['zt-attempt']), self.service, self.addr, self.serving.inc))
-        inc = h['zt-inc']
         self.warmth()
-        if not self.remembers:
-            self.serving.ran.clear()
-        drop = self.serving.accept(h if self.guarded else dict(h, **{'zt-inc': self.serving.inc}))
+        row = {'t': now, 'id': h['zt-id'], 'attempt': int(h['zt-attempt']), 'inc': self.serving.inc,
+               'meant': h['zt-inc'], 'stranger': h['zt-inc'] not in self.incs, 'addr': self.addr,
+               'service': self.service, 'cell': self.cell, 'home': h.get('zt-home', ''), 'once': h.get('zt-once'),
+               'running': self.running + 1, 'bears': self.serving.bears(), 'labels': self.labels or {}}
+        notes.arrivals.append(row)
+        drop = self.serving.accept(h)
         if drop is not None:
             back(seam.Fetched(*drop))
             return
         self.running += 1
-        notes.runs.append({'t': now, 'id': h['zt-id'], 'attempt': int(h['zt-attempt']), 'inc': self.serving.inc,
-                           'meant': inc, 'addr': self.addr, 'service': self.service, 'cell': self.cell,
-                           'home': h.get('zt-home', ''), 'once': h.get('zt-once'), 'running': self.running,
-                           'bears': self.serving.bears(), 'labels': self.labels or {}})
+        notes.runs.append(row)
         life, rng = self.life, self.world.rng
         self.world.after(ms(rng.uniform(*self.work)), self.ran, life, h, back)
 
@@ -139,7 +149,8 @@
         self.running -= 1
         rng = self.world.rng
         body = json.dumps({'id': h['zt-id'], 'service': self.service, 'by': self.serving.inc}).encode()
-        out = self.serving.outcome(h, 200, body)
+        # Why other statuses too: an endpoint's own fault is a reply like any other.
+        out = self.serving.outcome(h, rng.choices((200, 404, 500), (96, 3, 1))[0], body)
         last, self.last_body = self.last_body, out[2]
         if rng.random() < self.lose:
             back(seam.Fetched(fault='connection lost'))
@@ -163,7 +174,7 @@
 
     def fetch(self, key, addr, method, path, headers, body, wait):
         d = self.cast.world.fetch(self.name, addr, method, path, headers, body, wait)
-        return d.addCallback(lambda res: self.spy(addr, headers, res) or res) if self.spy else d
+        return d.addCallback(lambda res: self.spy(addr, path, headers, res) or res) if self.spy else d
 
 
 class Caller:
@@ -184,9 +195,9 @@
                                        clock=self.world.seconds, rng=self.rng)
         self.on = False
 
-    def spy(self, addr, headers, res):
+    def spy(self, addr, path, headers, res):
         if 'zt-id' in headers:
-            self.cast.note_attempt(self.name, addr, headers, res)
+            self.cast.note_attempt(self.name, addr, headers, res, path.split('/')[2])
 
     def start(self):
         self.on = True
@@ -219,16 +230,19 @@
 
     def again(self, rid, service, attempt, left):
         """Repeat by hand, at once and often, through any proxy."""
-        proxies = [p for p in self.world.of('prox')]
-        to = self.rng.choice(proxies).place.http
-        headers = {'zt-id': rid, 'zt-attempt': str(attempt), 'zt-left-ms': '2000'}
-        if self.lib.home:
-            headers['zt-home'] = ','.join(self.lib.home)
-        d = self.world.fetch(self.name, to, 'POST', f'/r/{service}/work', headers, b'{}', ms(2000))
-        d.addCallback(lambda res: self.spy(to, headers, res))
+        self.put(self.rng.choice(self.world.of('prox')), rid, service, attempt, self.lib.home)
         if left > 1:
             self.world.after(ms(self.rng.uniform(1, 60)), self.again, rid, service, attempt + 1, left - 1)
 
+    def put(self, proxy, rid, service, attempt, home):
+        """One attempt by hand, as a plain HTTP client would."""
+        to, path = proxy.place.http, f'/r/{service}/work'
+        headers = {'zt-id': rid, 'zt-attempt': str(attempt), 'zt-left-ms': '2000'}
+        if home:
+            headers['zt-home'] = ','.join(home)
+        d = self.world.fetch(self.name, to, 'POST', path, headers, b'{}', ms(2000))
+        d.addCallback(lambda res: self.spy(to, path, headers, res))
+
 
 class Operator:
     """Reads, changes and applies, as ztctl does."""
@@ -259,14 +273,15 @@
             cb(doc if status == 200 else None)
         self.ask('GET', '/v1/config', None, told, ms(4000))
 
-    def apply(self, config, base, cb=lambda status, doc: None, wait=False):
+    def apply(self, config, base, cb=lambda status, doc: None, wait=False, epoch=None):
         began = self.world.now
+        body = {'config': config, 'base': base, 'wait': wait}
 
         def told(status, doc):
             self.cast.notes.applies.append({'t0': began, 't': self.world.now, 'status': status, 'base': base,
                                             'generation': doc.get('generation'), 'config': config})
             cb(status, doc)
-        self.ask('PUT', '/v1/config', {'config': config, 'base': base, 'wait': wait}, told)
+        self.ask('PUT', '/v1/config', body, told)
 
     def change(self, fn, cb=lambda status, doc: None, tries=20, wait=False):
         """Read, change, apply; on a conflict or a fault, all over."""
@@ -285,6 +300,19 @@
                 cb(status, doc)
         self.read(read)
 
+    def look(self, seen=None, every=ms(500)):
+        """Watch the status page for endpoints that are taken out of the list."""
+        seen = set() if seen is None else seen
+
+        def told(status, doc):
+            if status == 200:
+                here = set(doc['state']['endpoints'])
+                for inc in seen - here:
+                    self.cast.notes.gone.setdefault(inc, self.world.now)
+                seen.update(here)
+            self.world.after(every, self.look, seen)
+        self.ask('GET', '/v1/status', None, told, ms(2000))
+
     def evacuate(self, cell, yes=True):
         asked = self.world.now
         self.change(lambda c: c['cells'].setdefault(cell, {}).update(evacuated=yes),
@@ -321,12 +349,12 @@
                         yield self.lib.sleep(self.lease / 3)
                         self.believe(lock)
                         got = yield lock.take()
+                        if not got:
+                            self.doubt(lock)
                 if got:
                     self.believe(lock)
                     if self.rng.random() < 0.7:
-                        now, row = self.world.now, self.cast.notes.locks[-1]
-                        if row['holder'] == self.name:
-                            row['until'] = min(row['until'], now)
+                        self.doubt(lock)
                         yield lock.free()
                     else:
                         yield self.lib.sleep(self.lease)
@@ -334,6 +362,12 @@
                 self.faults += 1
             yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
 
+    def doubt(self, lock):
+        """From now on it does not believe in what it took, renewals included."""
+        for row in self.cast.notes.locks:
+            if row['name'] == lock.name and row['holder'] == self.name:
+                row['until'] = min(row['until'], self.world.now)
+
     def believe(self, lock):
         if lock.held():
             self.cast.notes.locks.append({'name': lock.name, 'holder': self.name, 'fence': lock.fence,
@@ -342,38 +376,52 @@
     @defer.inlineCallbacks
     def numbering(self):
         while self.on:
-            t0 = self.world.now
+            row = {'op': 'next', 'key': 'orders', 't0': self.world.now, 't': None, 'value': None, 'out': 'unknown'}
+            self.cast.notes.numbers.append(row)
             try:
-                n = yield self.lib.number('orders')
-                self.cast.notes.numbers.append((t0, self.world.now, 'orders', n))
+                row['value'] = yield self.lib.number('orders')
+                row.update(t=self.world.now, out='ok')
             except coord.CoordFault:
                 self.faults += 1
             yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
 
+    @defer.inlineCallbacks
+    def keying(self, op, key, value=None, expect=None):
+        """One operation on a key, noted with what is known of its outcome."""
+        row = {'op': op, 'key': key, 't0': self.world.now, 't': None, 'value': value, 'expect': expect, 'rev': None,
+               'out': 'unknown'}
+        self.cast.notes.keys.append(row)
+        try:
+            if op == 'put':
+                row['rev'] = yield self.lib.set(key, value, expect)
+            elif op == 'drop':
+                row['rev'] = yield self.lib.drop(key, expect)
+            else:
+                doc = yield self.lib.get(key)
+                row['rev'], row['value'] = doc['rev'], doc['value']
+            row.update(t=self.world.now, out='ok')
+        except coord.CoordFault as e:
+            self.faults += 1
+            if e.status in (404, 409):
+                row.update(t=self.world.now, out='refused', rev=e.doc.get('rev'))
+        return row
+
     @defer.inlineCallbacks
     def writing(self):
         while self.on:
-            t0, key = self.world.now, f'k/{self.rng.randrange(3)}'
+            key = f'k/{self.rng.randrange(3)}'
             self.count += 1
-            value = f'{self.name}.{self.count}'
-            try:
-                rev = yield self.lib.set(key, value)
-                self.cast.notes.keys.append({'op': 'put', 'key': key, 't0': t0, 't': self.world.now, 'rev': rev,
-                                             'value': value})
-            except coord.CoordFault:
-                self.faults += 1
+            value, expect, kind = f'{self.name}.{self.count}', None, self.rng.random()
+            if kind < 0.4:
+                got = yield self.keying('get', key)
+                expect = got['rev'] if got['out'] == 'ok' else None
+            yield self.keying('drop' if kind > 0.9 or kind < 0.1 else 'put', key, value, expect)
             yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
 
     @defer.inlineCallbacks
     def reading(self):
         while self.on:
-            t0, key = self.world.now, f'k/{self.rng.randrange(3)}'
-            try:
-                doc = yield self.lib.get(key)
-                self.cast.notes.keys.append({'op': 'get', 'key': key, 't0': t0, 't': self.world.now,
-                                             'rev': doc['rev'], 'value': doc['value']})
-            except coord.CoordFault:
-                self.faults += 1
+            yield self.keying('get', f'k/{self.rng.randrange(3)}')
             yield self.lib.sleep(self.every * self.rng.uniform(0.5, 1.5))
 
     @defer.inlineCallbacks
@@ -404,8 +452,8 @@
 class Cast:
     """A deployment's processes and users in one world."""
 
-    def __init__(self, world, shape, slots=8):
-        self.world, self.shape = world, shape
+    def __init__(self, world, shape, slots=8, plain=False):
+        self.world, self.shape, self.plain = world, shape, plain
         self.notes = Notes()
         self.cells = fleet.cells_of(shape)
         self.ends = []
@@ -426,10 +474,11 @@
                                      self.cells[i % len(self.cells)], slots))
         self.op = Operator(self)
 
-    def note_attempt(self, who, proxy, headers, res):
+    def note_attempt(self, who, proxy, headers, res, service):
         self.attempts.append({'t': self.world.now, 'id': headers['zt-id'], 'attempt': int(headers['zt-attempt']),
                               'proxy': proxy, 'outcome': res.headers.get('zt-outcome'), 'status': res.status,
-                              'whole': not res.fault, 'home': headers.get('zt-home', '')})
+                              'whole': not res.fault, 'home': headers.get('zt-home', ''),
+                              'body': res.body, 'service': service})
 
     def start(self, config=None):
         """Everything up, a master, the configuration in force, endpoints known."""
--- a/zinctrail/sim/checks.py
+++ b/zinctrail/sim/checks.py
@@ -10,6 +10,7 @@
 import zinctrail.agree.partner as partner
 import zinctrail.ctl.config as config
 import zinctrail.seam as seam
+import zinctrail.sim.linear as linear
 
 ms = seam.ms
 ALL = {}
@@ -54,15 +55,17 @@
 
 @check('wrong-outcome')
 def wrong_outcome(cast):
+    """Whatever is said to have run is whole and of this request, of any status, for callers without a seal too."""
     out = []
     by = {(r['id'], r['inc']) for r in cast.notes.runs}
-    for r in cast.notes.replies:
-        if r['outcome'] != 'ran' or r['status'] != 200:
+    for r in cast.attempts + cast.notes.replies:
+        # Why not the statuses we give ourselves: 409 is an endpoint's word that the id ran there before.
+        if r['outcome'] != 'ran' or r['status'] == 409:
             continue
         try:
             body = json.loads(r['body'])
         except ValueError:
-            out.append(f'{r["id"]}: altered or cut reply passed as whole')
+            out.append(f'{r["id"]}: altered or cut reply of status {r["status"]} passed as whole')
             continue
         if body.get('id') != r['id'] or body.get('service') != r['service'] or (r['id'], body.get('by')) not in by:
             out.append(f'{r["id"]}: got the reply of {body}')
@@ -75,14 +78,26 @@
     told = {}
     for t, _, inc, _ in cast.notes.states:
         told.setdefault(inc, t)
-    for r in cast.notes.runs:
-        if r['inc'] in told and r['t'] > told[r['inc']] + ms(3000):
-            out.append(f'{r["id"]} reached {r["inc"]} {sec(r["t"] - told[r["inc"]])} after it drained')
-        if r['meant'] != r['inc']:
-            out.append(f'{r["id"]} meant for {r["meant"]} ran at the newcomer {r["inc"]}')
+    for r in cast.notes.arrivals:
+        if r['meant'] in told and r['t'] > told[r['meant']] + ms(3000):
+            out.append(f'{r["id"]} reached {r["meant"]} {sec(r["t"] - told[r["meant"]])} after it drained')
     return out
 
 
+@check('gone-reached')
+def gone_reached(cast):
+    """From when the status page or a 410 says that an incarnation is gone; it may well live on."""
+    gone = cast.notes.gone
+    return [f'{r["id"]} reached {r["meant"]} {sec(r["t"] - gone[r["meant"]])} after it was declared gone'
+            for r in cast.notes.arrivals if r['meant'] in gone and r['t'] > gone[r['meant']] + ms(3000)]
+
+
+@check('newcomer-reached')
+def newcomer_reached(cast):
+    return [f'{r["id"]} meant for {r["meant"]} reached the newcomer {r["inc"]} at {r["addr"]}'
+            for r in cast.notes.arrivals if r['stranger']]
+
+
 def allowed(doc, row):
     """Whether this configuration lets a run of this service be at this endpoint."""
     labels = {**(doc['cells'].get(row['cell'], {}).get('labels') or {}), **row['labels'],
@@ -101,9 +116,7 @@
     """Late, sliding back: a run must fit a configuration that was in force then."""
     out = []
     good = sorted((a for a in cast.notes.applies if a['status'] == 200), key=lambda a: a['generation'])
-    for r in cast.notes.runs:
-        if r.get('labelled'):
-            continue
+    for r in cast.notes.arrivals:
         fits = False
         for i, a in enumerate(good):
             over = good[i + 1]['t'] + ms(3000) if i + 1 < len(good) else None
@@ -165,7 +178,7 @@
             continue
         back = [a for a, _, c, y in cast.notes.evacuations[i + 1:] if c == cell and not y]
         until = min(back, default=None)
-        for r in cast.notes.runs:
+        for r in cast.notes.arrivals:
             at = r['cell'] == cell or proxied.get((r['id'], r['attempt'])) == cell
             if at and r['t'] > asked + ms(5000) and (until is None or r['t'] < until):
                 out.append(f'{r["id"]} reached {cell} {sec(r["t"] - asked)} after its evacuation was asked')
@@ -176,16 +189,16 @@
 def cold_overrun(cast):
     # Why the step: one request more than the bound can't be told from rounding at small sizes.
     return [f'{r["inc"]} ran {r["running"]} at once, bears {r["bears"]:.2f}'
-            for r in cast.notes.runs if r['running'] > max(1, 1.5 * r['bears'])]
+            for r in cast.notes.arrivals if r['running'] > max(1, 1.5 * r['bears'])]
 
 
 @check('repeats')
 def repeats(cast):
     out = []
     seen, by = set(), collections.defaultdict(list)
-    for t, rid, attempt, service, _, _ in sorted(cast.notes.sends):
-        by[service].append((t, attempt > 1 or rid in seen))
-        seen.add(rid)
+    for r in cast.notes.arrivals:
+        by[r['service']].append((r['t'], r['attempt'] > 1 or r['id'] in seen))
+        seen.add(r['id'])
     allowance = cast.world.bounds.repeat_allowance
     for service, rows in by.items():
         lo = again = 0
@@ -205,7 +218,7 @@
 def home_regions(cast):
     out = []
     cells = {n.place.http: n.place.cell for n in cast.world.of('prox')}
-    for r in cast.notes.runs:
+    for r in cast.notes.arrivals:
         home = [h for h in r['home'].split(',') if h]
         if home and r['cell'].split('/')[0] not in home:
             out.append(f'{r["id"]} of {home} ran in {r["cell"]}')
@@ -225,56 +238,52 @@
         by[row['name']].append(row)
     for name, rows in by.items():
         rows.sort(key=lambda r: r['t0'])
-        for a, b in zip(rows, rows[1:]):
-            if a['holder'] != b['holder'] and b['t0'] < a['until']:
-                out.append(f'{name}: {a["holder"]} until {sec(a["until"])}, {b["holder"]} from {sec(b["t0"])}')
-            if b['fence'] <= a['fence'] and a['holder'] != b['holder']:
-                out.append(f'{name}: fence {b["fence"]} after {a["fence"]}')
+        for i, a in enumerate(rows):
+            # Why every pair: a long belief may meet one that is not its neighbour.
+            for b in rows[i + 1:]:
+                if a['holder'] != b['holder'] and b['t0'] < a['until']:
+                    out.append(f'{name}: {a["holder"]} until {sec(a["until"])}, {b["holder"]} from {sec(b["t0"])}')
+                if b['fence'] < a['fence'] or (b['fence'] == a['fence'] and a['holder'] != b['holder']):
+                    out.append(f'{name}: fence {b["fence"]} of {b["holder"]} after {a["fence"]} of {a["holder"]}')
     return out
 
 
-@check('numbers')
-def numbers(cast):
-    """notes.numbers: (t0, t, name, number)."""
+def _ordered(rows, start, model):
     out = []
     by = collections.defaultdict(list)
-    for t0, t, name, n in cast.notes.numbers:
-        by[name].append((t0, t, n))
-    for name, rows in by.items():
-        if len({n for _, _, n in rows}) != len(rows):
-            out.append(f'{name}: a number was given twice')
-        top = 0
-        done = sorted(rows, key=lambda r: r[1])
-        for t0, t, n in sorted(rows):
-            top = max([m for _, e, m in done if e <= t0], default=0)
-            if n <= top:
-                out.append(f'{name}: {n} after {top}')
+    for row in rows:
+        by[row['key']].append(row)
+    for name, ops in by.items():
+        try:
+            bad = linear.order(ops, start, model)
+        except linear.Undecided as e:
+            out.append(f'{name}: no verdict on {e}')
+            continue
+        if bad:
+            out.append(f'{name}: no order explains {bad["op"]} at {sec(bad["t0"])} by {bad["value"]}, {bad["out"]}'
+                       f' at revision {bad.get("rev")}')
     return out
 
 
+@check('numbers')
+def numbers(cast):
+    """Every number once, and in the order of time."""
+    return _ordered(cast.notes.numbers, 0, linear.number)
+
+
 @check('keys')
 def keys(cast):
-    """notes.keys: {op, key, t0, t, rev, value}: reads never older than acknowledged writes."""
-    out = []
-    writes = [k for k in cast.notes.keys if k['op'] == 'put']
-    for r in cast.notes.keys:
-        floor = max((w['rev'] for w in writes if w['key'] == r['key'] and w['t'] <= r['t0'] and w is not r), default=0)
-        if r['op'] == 'get' and r['rev'] < floor:
-            out.append(f'{r["key"]} read at revision {r["rev"]}, {floor} was acknowledged before')
-        if r['op'] == 'put' and r['rev'] <= floor:
-            out.append(f'{r["key"]} written at revision {r["rev"]}, after {floor}')
-        if r['op'] == 'get':
-            same = [w for w in writes if w['key'] == r['key'] and w['rev'] == r['rev']]
-            if same and same[0]['value'] != r['value']:
-                out.append(f'{r["key"]} at {r["rev"]} reads {r["value"]}, written {same[0]["value"]}')
-    return out
+    """Reads, writes, comparisons and drops of a key have one order; revisions rise."""
+    out = _ordered(cast.notes.keys, (None, 0, 0), linear.key)
+    revs = collections.Counter(k['rev'] for k in cast.notes.keys if k['op'] != 'get' and k['out'] == 'ok')
+    return out + [f'revision {r} was given {n} times' for r, n in revs.items() if n > 1]
 
 
 @check('watches')
 def watches(cast):
     """notes.watches: {key prefix, since, t, head, events, gone}: nothing within 20 s is missed."""
     out = []
-    writes = [k for k in cast.notes.keys if k['op'] == 'put']
+    writes = [k for k in cast.notes.keys if k['op'] != 'get' and k['out'] == 'ok']
     for w in cast.notes.watches:
         if w.get('gone'):
             late = [x for x in writes if x['key'].startswith(w['prefix']) and x['rev'] > w['since']
@@ -294,14 +303,17 @@
 
 @check('service-back')
 def service_back(cast):
-    """notes.losses: (t, text) once all that may come back has; service within 15 s."""
+    """notes.losses: (t, text) once all that may come back has; every service, and most requests, within 15 s."""
     out = []
     last = max((r['t0'] for r in cast.notes.replies), default=ms(0))
     for t, text in cast.notes.losses:
-        # Why left out: where nobody asked for the whole time, silence proves nothing.
-        if last < t + ms(14000):
+        # Why left out: where nobody asked for the whole time, or new faults came, silence proves nothing.
+        if last < t + ms(14000) or any(t < b < t + ms(15000) for b in cast.notes.begins):
             continue
-        runs = [r for r in cast.notes.runs if t < r['t'] <= t + ms(15000)]
-        if not runs:
-            out.append(f'no request ran within 15 s of {text} at {sec(t)}')
+        for service in sorted(cast.shape['services']):
+            if not any(r['service'] == service and t < r['t'] <= t + ms(15000) for r in cast.notes.runs):
+                out.append(f'no request to {service} ran within 15 s of {text} at {sec(t)}')
+        late = [r['outcome'] == 'ran' for r in cast.notes.replies if t + ms(10000) < r['t0'] <= t + ms(14000)]
+        if len(late) >= 20 and sum(late) < 0.8 * len(late):
+            out.append(f'{sum(late)} of {len(late)} requests ran 10 to 14 s after {text} at {sec(t)}')
     return out
--- a/zinctrail/sim/days.py
+++ b/zinctrail/sim/days.py
@@ -18,6 +18,8 @@
 
 ms = seam.ms
 FAULTS = {}
+# Faults after which a control node's disk is gone: no two of them belong into one day.
+LOSE_DISK = ('replace_core', 'lose_disk', 'damage_disk', 'region_for_good', 'machine_for_good')
 
 
 def fault(fn):
@@ -29,21 +31,30 @@
     """One seeded run: start, load, faults, a quiet end, verdicts."""
 
     def __init__(self, seed, names=(), shape='small', length=ms(30000), trace=False, coord=True, bound=None,
-                 rate=None, wild=0.1):
+                 rate=None, wild=0.1, plain=None, drift=None):
         self.seed, self.names, self.length, self.coord = seed, list(names), length, coord
         self.shape_name = shape
         self.world = world.World(seed, bound, trace)
         self.shape = fleet.PRESETS[shape]
         self.rate = rate
         self.wild = wild
-        self.cast = cast.Cast(self.world, self.shape)
+        mix = random.Random(f'mix/{seed}')
+        # Why by the seed where not told: a search goes through both kinds of endpoints, and through clocks that drift.
+        self.plain = mix.random() < 0.5 if plain is None else plain
+        self.drift = mix.choice((0.0, 0.0, 0.02)) if drift is None else drift
+        self.cast = cast.Cast(self.world, self.shape, plain=self.plain)
         self.rng = random.Random(f'day/{seed}')
         self.said = []
+        self.missed = []
 
     def note(self, text):
         self.said.append((self.world.now, text))
         self.world.log(f'day: {text}')
 
+    def miss(self, name):
+        """A fault found nothing to break, so it proves nothing."""
+        self.missed.append(name)
+
     def pick(self, role, up=True):
         # Why any if none is up: the fault then finds nothing to break, as faults do.
         nodes = self.world.of(role)
@@ -57,7 +68,10 @@
 
     def run(self):
         c, w = self.cast, self.world
+        for n in w.nodes.values():
+            n.drift = 1.0 + self.rng.uniform(-self.drift, self.drift)
         c.start()
+        c.op.look()
         c.call_all(self.rate, wild=self.wild)
         # Why some at home: the regions' bound needs traffic that has one.
         for i, cell in enumerate(c.cells[:2]):
@@ -71,6 +85,7 @@
         per = self.length / max(1, len(self.names))
         for name in self.names:
             began = w.now
+            c.notes.begins.append(w.now)
             self.note(f'fault {name}')
             # Why the longest: nothing counts as lost until all of it may be back.
             w.run(max(FAULTS[one](self) for one in name.split('+')))
@@ -104,9 +119,56 @@
     if m:
         m.kill()
         day.back(m, ms(5000))
+    else:
+        day.miss('kill_master')
     return ms(5000)
 
 
+def at_master(day, what):
+    """Do something to whoever is master a moment after the other faults began."""
+    def hit():
+        m = day.world.master()
+        if m:
+            what(m)
+        else:
+            day.miss('at_master')
+    day.later(ms(day.rng.uniform(20, 1500)), hit)
+
+
+@fault
+def kill_master_amid(day):
+    at_master(day, lambda m: (m.kill(), day.back(m, ms(5000))))
+    return ms(7000)
+
+
+@fault
+def freeze_master_amid(day):
+    at_master(day, lambda m: m.pause(ms(day.rng.uniform(500, 5000))))
+    return ms(7000)
+
+
+@fault
+def one_way_amid(day):
+    """The master is heard, and hears nobody, or the other way round."""
+    out = day.rng.random() < 0.5
+
+    def cut(m):
+        for other in day.world.nodes:
+            if other != m.name:
+                day.world.cut(*((m.name, other) if out else (other, m.name)), both=False)
+        day.later(ms(5000), day.world.heal)
+    at_master(day, cut)
+    return ms(7000)
+
+
+@fault
+def masters_in_turn(day):
+    """Whoever leads is killed, four times over."""
+    for i in range(4):
+        day.later(ms(1800) * i, at_master, day, lambda m: (m.kill(), day.back(m, ms(2500))))
+    return ms(11000)
+
+
 @fault
 def kill_one_each(day):
     for role in ('core', 'dir', 'prox'):
@@ -401,6 +463,34 @@
             day.later(ms(5000 + day.rng.uniform(0, 1000)), e.start)
 
 
+@fault
+def region_for_good(day):
+    """A region's machines are gone for good, and then one more control node, where there are enough."""
+    gone = day.rng.choice(day.cast.cells).split('/')[0]
+    _scrap(day, [n for n in day.world.nodes.values() if n.place.cell.split('/')[0] == gone])
+    for e in day.cast.ends:
+        if e.cell.split('/')[0] == gone and e.up:
+            e.kill()
+    cores = [n for n in day.world.of('core') if not n.scrapped]
+    if len(cores) > 3:
+        day.later(ms(8000), lambda: _scrap(day, [day.rng.choice(cores)]))
+        return ms(9000)
+    return ms(1000)
+
+
+@fault
+def machine_for_good(day):
+    for role in ('core', 'dir', 'prox'):
+        _scrap(day, [day.pick(role)])
+    return ms(1000)
+
+
+def _scrap(day, nodes):
+    for n in nodes:
+        n.kill(power=True)
+        n.scrapped = True
+
+
 @fault
 def swap_seeds(day):
     """All seeds are replaced; whoever restarts knows only the new ones."""
@@ -443,6 +533,28 @@
     return ms(10000)
 
 
+@fault
+def beats_cut(day):
+    """An endpoint lives and serves on, and only its beats and the control nodes' probes are cut off."""
+    e = an_end(day)
+    for n in day.world.of('core') + day.world.of('dir'):
+        day.world.cut(e.name, n.name)
+    day.later(ms(12000), day.world.heal)
+    return ms(12000)
+
+
+@fault
+def beats_late(day):
+    """Beats of an incarnation that was declared gone go on arriving, from one directory to the next master."""
+    e = an_end(day)
+    cell = [n for n in day.world.of('core') + day.world.of('dir')]
+    for n in cell:
+        day.world.cut(e.name, n.name)
+    day.later(ms(7500), day.world.heal)
+    day.later(ms(7300), lambda: kill_master(day))
+    return ms(13000)
+
+
 @fault
 def ends_replaced(day):
     ends = [e for e in day.cast.ends if e.up]
@@ -531,6 +643,27 @@
         day.later(ms(6000), lambda e=e: setattr(e, how, 0.0))
 
 
+@fault
+def replies_lost(day):
+    """Callers and operators lose replies that were given."""
+    for who in [c.name for c in day.cast.callers] + ['op']:
+        day.world.reply_loss[who] = 0.2
+    day.later(ms(8000), day.world.reply_loss.clear)
+    return ms(8000)
+
+
+@fault
+def crowd(day):
+    """Four times the traffic, to endpoints that take long."""
+    for c in day.cast.callers:
+        c.rate *= 4
+        day.later(ms(7000), lambda c=c: setattr(c, 'rate', c.rate / 4))
+    for e in day.cast.ends:
+        e.work = (300, 900)
+        day.later(ms(7000), lambda e=e: setattr(e, 'work', (2, 20)))
+    return ms(9000)
+
+
 @fault
 def slow_ends(day):
     for e in day.cast.ends:
@@ -559,6 +692,40 @@
     return ms(14000)
 
 
+@fault
+def homes_change(day):
+    """Callers repeat an id with other home regions than they first gave, by hand."""
+    for c in day.cast.callers:
+        for i in range(12):
+            day.later(ms(day.rng.uniform(0, 6000)), _rehome, day, c)
+    return ms(8000)
+
+
+def _rehome(day, c):
+    if not c.lib.answer:
+        return
+    rid = f'{c.lib.answer["epoch"]}.{c.rng.getrandbits(80):020x}'
+    service = day.rng.choice(sorted(day.shape['services']))
+    regions = sorted({p.place.cell.split('/')[0] for p in day.world.of('prox')})
+    for attempt in (1, 2, 3):
+        home = day.rng.choice(regions)
+        to = day.rng.choice([p for p in day.world.of('prox') if p.place.cell.split('/')[0] == home])
+        day.later(ms(day.rng.choice((3, 40, 300))) * attempt, c.put, to, rid, service, attempt, [home])
+
+
+@fault
+def apply_lost(day):
+    """Replies to an operator get lost while he asks again with the same id, and another changes things between."""
+    day.world.reply_loss['op0'] = 0.7
+    for i in range(4):
+        op = cast.Operator(day.cast, 'op0')
+        day.later(ms(1500) * i, op.change, lambda c, i=i: c['labels'].update({f'10.9.9.{i}:1': {'by': 'lost'}}))
+        day.later(ms(1500) * i + ms(300), cast.Operator(day.cast, 'op1').change,
+                  lambda c, i=i: c['labels'].update({f'10.9.8.{i}:1': {'by': 'other'}}))
+    day.later(ms(7000), day.world.reply_loss.clear)
+    return ms(8000)
+
+
 @fault
 def move_pool(day):
     """A pool's selector goes from everywhere to one cell and back."""
--- a/zinctrail/sim/search.py
+++ b/zinctrail/sim/search.py
@@ -12,7 +12,16 @@
 def plan(seed):
     """The faults of a seed's day."""
     rng = random.Random(f'plan/{seed}')
-    return ['+'.join(rng.sample(sorted(days.FAULTS), rng.choice((1, 1, 2, 2, 3)))) for _ in range(rng.randrange(1, 4))]
+    out, disks = [], 0
+    for _ in range(rng.randrange(1, 4)):
+        names = rng.sample(sorted(days.FAULTS), rng.choice((1, 1, 2, 2, 3)))
+        # Why one of these a day: two disks of three lost at once are beyond what is promised (operate/recover.md).
+        for name in [n for n in names if n in days.LOSE_DISK]:
+            disks += 1
+            if disks > 1:
+                names.remove(name)
+        out.append('+'.join(names) or 'kill_master')
+    return out
 
 
 def one(job):
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -93,9 +93,14 @@
         self.logs = []
         self.exited = False
         self.level = None
+        # How fast this machine's clock goes; a machine lost for good starts no more.
+        self.drift = 1.0
+        self.scrapped = False
 
     def start(self):
         w = self.world
+        if self.scrapped:
+            return
         self.life += 1
         self.up, self.paused, self.held, self.wake_at, self.exited = True, None, [], None, False
         rng = random.Random(f'{w.seed}/{self.name}/{self.life}')
@@ -152,7 +157,7 @@
             return
         w = self.world
         w.inputs += 1
-        for i, e in enumerate(self.machine.feed(kind, w.now, *args)):
+        for i, e in enumerate(self.machine.feed(kind, w.now * self.drift, *args)):
             if isinstance(e, seam.Write):
                 try:
                     self.disk.write(e.name, e.text, e.gone)
@@ -179,6 +184,8 @@
         if not self.up or self.paused is not None:
             return
         due = self.machine.due()
+        # Why rounded up: an alarm must not find itself a microsecond early.
+        due = due if due is None or self.drift == 1.0 else due / self.drift + datetime.timedelta(microseconds=2)
         if due is not None and (self.wake_at is None or due < self.wake_at):
             self.wake_at = max(due, self.world.now)
             self.world.at(self.wake_at, self.wake, self.life, self.wake_at)
@@ -201,7 +208,7 @@
             cb(seam.Fetched(e.status, dict(e.headers), e.body))
 
     def do_fetch(self, e):
-        d = self.world.fetch(self.name, e.addr, e.method, e.path, e.headers, e.body, e.wait)
+        d = self.world.fetch_end(self.name, e)
         life = self.life
         d.addCallback(lambda res: self.feed_life(life, 'fetched', e.fid, res))
 
@@ -232,6 +239,9 @@
 
 class World:
 
+    # Why switchable: a test shows that a newcomer is reached without it.
+    verifies = True
+
     def __init__(self, seed, bound=None, trace=False):
         self.seed = seed
         self.rng = random.Random(seed)
@@ -247,7 +257,12 @@
         self.loss = 0.0
         self.copies = 0.0
         self.slow = seam.ZERO
+        # How likely a reply over HTTP is lost on its way to whom.
+        self.reply_loss = {}
         self.last = {}
+        # Connections kept to endpoints: {(who, incarnation): (endpoint, its life)}.
+        self.links = {}
+        self.verified = 0
         self.trace = trace
         self.lines = []
         self.inputs = 0
@@ -359,12 +374,34 @@
             return d
 
         def back(res):
-            if not self.is_cut(name, src):
+            if not self.is_cut(name, src) and not self.rng.random() < self.reply_loss.get(src, 0.0):
                 self.after(self.delay(), done, res)
         call = seam.Call(method, path, {k.lower(): v for k, v in headers.items()}, body)
         self.after(self.delay(), there_call, there, there.life, call, back)
         return d
 
+    def fetch_end(self, src, e):
+        """A call to one incarnation: a new connection is asked who is there before its first request."""
+        there, life = self.links.get((src, e.inc), (None, 0))
+        if there is not None and self.ends.get(e.addr) is there and there.life == life:
+            return self.fetch(src, e.addr, e.method, e.path, e.headers, e.body, e.wait)
+        if e.path == '/zt/live' or not self.verifies:
+            return self.fetch(src, e.addr, e.method, e.path, e.headers, e.body, e.wait)
+        until = self.now + e.wait
+        self.verified += 1
+        out = defer.Deferred()
+
+        def told(res):
+            end = self.ends.get(e.addr)
+            if res.fault or res.headers.get('zt-inc') != e.inc or end is None or end.serving.inc != e.inc:
+                # Why unsent: only the question who is there went out.
+                out.callback(seam.Fetched(sent=False, fault=res.fault or 'another incarnation'))
+                return
+            self.links[src, e.inc] = (end, end.life)
+            self.fetch(src, e.addr, e.method, e.path, e.headers, e.body, until - self.now).addCallback(out.callback)
+        self.fetch(src, e.addr, 'GET', '/zt/live', {'zt-inc': e.inc}, b'', e.wait).addCallback(told)
+        return out
+
     # -- building ---------------------------------------------------------
 
     def add(self, name, role, cell, seeds=(), addr=None):
