What was declared gone stays gone over a change of master

Cause: incarnations declared gone were remembered by one master only; after the next took over, a late beat of the old one brought it back into the list. Ruled out: a stale proxy (its lease had ended in time).

--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -9,6 +9,8 @@
 import zinctrail.seam as seam
 
 OPS = {}
+# Why so many epochs (an hour): an endpoint may be cut off for long and beat on.
+GONERS_KEPT = 360
 
 
 def op(name, acts=False):
@@ -178,3 +180,6 @@
                 txn.drop(table, key)
                 if table == 'events':
                     txn.put('numbers', '/floor', max(txn.get('numbers', '/floor') or 0, row['rev']))
+    for inc, at in txn.items('goners').items():
+        if at <= epoch - GONERS_KEPT:
+            txn.drop('goners', inc)
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -1,6 +1,5 @@
 """The control node: the agreement, and what its master decides with it."""
 
-import collections
 import hashlib
 import math
 
@@ -37,6 +36,12 @@
         raise faults.CallFault(400, 'invalid beat', faults=[{'path': p, 'fault': t} for p, t in r.faults])
 
 
+def not_gone(state, inc):
+    # Why: what was declared gone stays gone; it must come back as somebody new.
+    if state.get('goners', inc) is not None:
+        raise faults.CallFault(410, 'this incarnation was declared gone: mint a new one')
+
+
 def is_addr(val):
     if not isinstance(val, str):
         return False
@@ -51,7 +56,6 @@
         self.api_init()
         self.mastered_at = seam.ZERO
         self.beats = {}
-        self.goners = collections.OrderedDict()
         self.probing = {}
         self.lock_until = {}
         self.waits = []
@@ -66,7 +70,6 @@
         # Why in full: how long anybody was silent under the old master is not known here.
         self.mastered_at = self.now
         self.beats = {}
-        self.goners.clear()
         self.probing = {}
         self.lock_until = {n: self.now + seam.ms(row['lease_ms']) for n, row in self.rep.get('locks').items()}
         self.epoch_at = self.now
@@ -120,9 +123,7 @@
     def serve_beat(self, args, cb):
         check_beat(args)
         inc = args['inc']
-        if inc in self.goners:
-            # Why: what was declared gone stays gone; it must come back as somebody new.
-            raise faults.CallFault(410, 'this incarnation was declared gone: mint a new one')
+        not_gone(self.rep, inc)
         self.beats[inc] = self.now
         # Why in eighths, rounded up: warming up must not cost a generation a beat, nor seem further than it is.
         row = {'addr': args['addr'], 'service': args['service'], 'cell': args['cell'],
@@ -133,24 +134,23 @@
             return
 
         def put(txn):
+            not_gone(txn, inc)
             if row['state'] == 'leaving':
-                txn.drop('endpoints', inc)
-                self.gone(inc)
+                self.gone(txn, inc)
                 return {'status': 200}
             for other, old in txn.items('endpoints').items():
                 # Why: an address has one incarnation; the newcomer proves that the old one is dead.
                 if other != inc and old['addr'] == row['addr']:
-                    txn.drop('endpoints', other)
-                    self.gone(other)
+                    self.gone(txn, other)
             txn.put('endpoints', inc, row)
             return {'status': 200, 'epoch': txn.get('meta', 'epoch') or 0}
         self.submit(put, cb)
 
-    def gone(self, inc):
+    def gone(self, txn, inc):
         self.beats.pop(inc, None)
-        self.goners[inc] = self.now
-        while len(self.goners) > 10000:
-            self.goners.popitem(last=False)
+        txn.drop('endpoints', inc)
+        # Why kept in the state: the next master must not let a late beat bring it back.
+        txn.put('goners', inc, txn.get('meta', 'epoch') or 0)
 
     def tick_endpoints(self):
         limit = self.now - self.bounds.beat * self.bounds.beats_missed
@@ -210,8 +210,7 @@
         self.log(f'Endpoint {inc} is gone: silent, and the probe failed.')
 
         def drop(txn):
-            txn.drop('endpoints', inc)
-            self.gone(inc)
+            self.gone(txn, inc)
             return {'status': 200}
         self.submit(drop, lambda res: None)
 
