--- a/features/days.feature
+++ b/features/days.feature
@@ -11,3 +11,7 @@
       | 1023 | lossy,lose_disk+disk_full,lossy+storm+kill_all                            |
       | 1105 | kill_many+isolate_master+replace_core,large_config+replace_core           |
       | 5087 | isolate_proxy+stale_passed_on+storm,kill_all+cell_lost                    |
+
+  Scenario: A day is the same again, whatever Python makes of hashes
+    When the day kill_many+storm,stale_evacuate of seed 4 runs under two hash seeds
+    Then all that happened in them is the same
--- a/features/steps/days_steps.py
+++ b/features/steps/days_steps.py
@@ -1,4 +1,7 @@
 import contextlib
+import os
+import subprocess
+import sys
 import unittest.mock as mock
 
 import behave
@@ -159,6 +162,27 @@
     raise AssertionError(f'checker {context.checker} is blind to the loss of {guard}')
 
 
+DIGEST = '''
+import hashlib, sys
+import zinctrail.seam as seam
+import zinctrail.sim.days as days
+day = days.Day(int(sys.argv[1]), sys.argv[2].split(','), length=seam.ms(10000)).run()
+print(hashlib.sha256(repr((day.world.lines, day.world.inputs, day.cast.notes.replies)).encode()).hexdigest())
+'''
+
+
+@behave.when('the day {names} of seed {seed:d} runs under two hash seeds')
+def _(context, names, seed):
+    context.digests = [subprocess.run([sys.executable, '-c', DIGEST, str(seed), names], text=True, check=True,
+                                      stdout=subprocess.PIPE, env=dict(os.environ, PYTHONHASHSEED=h)).stdout
+                       for h in ('1', '2')]
+
+
+@behave.then('all that happened in them is the same')
+def _(context):
+    assert len(context.digests[0]) == 65 and len(set(context.digests)) == 1, context.digests
+
+
 @behave.given('a day of {names} under seed {seed:d}')
 def _(context, names, seed):
     context.day = days.Day(seed, names.split(','), length=ms(30000)).run()
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -243,7 +243,7 @@
         for key, row in txn.items('duties').items():
             if key[7:] not in pools:
                 txn.drop('duties', key)
-        for pool in pools:
+        for pool in sorted(pools):
             row = txn.get('duties', f'keeper/{pool}')
             if row and row['holder'] in (staying or dirs):
                 continue
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -434,7 +434,7 @@
         self.held = [h for h in self.held if h[0] > self.now]
         for _, pool, inc in over:
             self.pool(pool).use[inc] -= 1
-        for pool in {pool for _, pool, _ in over}:
+        for pool in sorted({pool for _, pool, _ in over}):
             self.unqueue(pool)
         if self.held:
             self.alarm_at('held', min(at for at, _, _ in self.held))
--- a/zinctrail/dir/keeper.py
+++ b/zinctrail/dir/keeper.py
@@ -49,7 +49,7 @@
         return self.ready_at is None or not self.waiting or now >= self.ready_at
 
     def hand(self):
-        return {p: [{i: h.counted(i) for i in {*h.held, *h.use}}, h.use] for p, h in self.holders.items()}
+        return {p: [{i: h.counted(i) for i in {**h.held, **h.use}}, h.use] for p, h in self.holders.items()}
 
     def take(self, now, doc):
         for proxy, (held, use) in doc.items():
@@ -74,7 +74,7 @@
         if msg['took'] == h.no:
             h.held = dict(h.sent)
         else:
-            h.held = {i: max(h.held.get(i, 0), h.sent.get(i, 0)) for i in {*h.held, *h.sent}}
+            h.held = {i: max(h.held.get(i, 0), h.sent.get(i, 0)) for i in {**h.held, **h.sent}}
         h.use, h.need = msg['use'], msg['need']
         for inc, p in msg['pressure'].items():
             self.pressure[inc] = p
@@ -82,7 +82,7 @@
         h.no += 1
         h.sent = grants
         # Why the larger: until it shows that it took the new grant, it may act on the old one.
-        h.held = {i: max(h.held.get(i, 0), grants.get(i, 0)) for i in {*h.held, *grants}}
+        h.held = {i: max(h.held.get(i, 0), grants.get(i, 0)) for i in {**h.held, **grants}}
         h.until = now + self.bounds.credit
         return grants
 
--- a/zinctrail/sim/checks.py
+++ b/zinctrail/sim/checks.py
@@ -192,14 +192,12 @@
             for r in cast.notes.arrivals if r['running'] > max(1, 1.5 * r['bears'])]
 
 
-@check('repeats')
-def repeats(cast):
-    out = []
+def repeat_windows(cast):
+    """(service, when, repeats, all) for the 10 s that end with each arrival."""
     seen, by = set(), collections.defaultdict(list)
     for r in cast.notes.arrivals:
         by[r['service']].append((r['t'], r['attempt'] > 1 or r['id'] in seen))
         seen.add(r['id'])
-    allowance = cast.world.bounds.repeat_allowance
     for service, rows in by.items():
         lo = again = 0
         for hi, (t, rep) in enumerate(rows):
@@ -207,11 +205,16 @@
             while rows[lo][0] <= t - ms(10000):
                 again -= rows[lo][1]
                 lo += 1
-            total = hi - lo + 1
-            if again > 0.2 * total + allowance:
-                out.append(f'{service}: {again} repeats of {total} in the 10 s before {sec(t)}')
-                break
-    return out
+            yield service, t, again, hi - lo + 1
+
+
+@check('repeats')
+def repeats(cast):
+    out, allowance = {}, cast.world.bounds.repeat_allowance
+    for service, t, again, total in repeat_windows(cast):
+        if again > 0.2 * total + allowance:
+            out.setdefault(service, f'{service}: {again} repeats of {total} in the 10 s before {sec(t)}')
+    return list(out.values())
 
 
 @check('home-regions')
@@ -317,3 +320,46 @@
         if len(late) >= 20 and sum(late) < 0.8 * len(late):
             out.append(f'{sum(late)} of {len(late)} requests ran 10 to 14 s after {text} at {sec(t)}')
     return out
+
+
+def figures(cast):
+    """The worst that was seen against each bound, in ms or as a ratio; what did not occur is left out."""
+    out, n = {}, cast.notes
+
+    def worst(name, val):
+        out[name] = max(out.get(name, val), val)
+    drained = {}
+    for t, _, inc, _ in n.states:
+        drained.setdefault(inc, t)
+    for r in n.arrivals:
+        for name, at in (('drained_ms', drained.get(r['meant'])), ('gone_ms', n.gone.get(r['meant']))):
+            if at is not None and r['t'] > at:
+                worst(name, seam.to_ms(r['t'] - at))
+        if r['bears'] < cast.ends[0].slots:
+            worst('cold_ratio', round(r['running'] / max(1, r['bears']), 2))
+    for _, _, again, total in repeat_windows(cast):
+        worst('repeats_over_a_fifth', round(again - 0.2 * total, 1))
+    good = sorted((a for a in n.applies if a['status'] == 200), key=lambda a: a['generation'])
+    for old, new in zip(good, good[1:]):
+        if old['config']['pools'] != new['config']['pools'] or old['config']['cells'] != new['config']['cells']:
+            # Why from the reply: from then on the operator counts on it.
+            late = [r['t'] - new['t'] for r in n.arrivals if new['t'] < r['t'] < new['t'] + ms(5000)
+                    and not allowed(new['config'], r) and allowed(old['config'], r)]
+            worst('in_force_ms', seam.to_ms(max(late, default=ms(0))))
+    for i, (asked, _, cell, yes) in enumerate(n.evacuations):
+        back = min([a for a, _, c, y in n.evacuations[i + 1:] if c == cell and not y], default=None)
+        if yes:
+            late = [r['t'] - asked for r in n.arrivals
+                    if r['cell'] == cell and r['t'] > asked and (back is None or r['t'] < back)]
+            worst('evacuated_ms', seam.to_ms(max(late, default=ms(0))))
+    for t, _ in n.losses:
+        if any(t < b < t + ms(15000) for b in n.begins):
+            continue
+        for service in cast.shape['services']:
+            first = min([r['t'] for r in n.runs if r['service'] == service and r['t'] > t], default=None)
+            if first is not None:
+                worst('back_ms', seam.to_ms(first - t))
+    for w in n.watches:
+        if not w.get('gone') and w['since_t'] is not None:
+            worst('history_ms', seam.to_ms(w['t0'] - w['since_t']))
+    return out
--- a/zinctrail/sim/days.py
+++ b/zinctrail/sim/days.py
@@ -680,6 +680,22 @@
     return ms(10000)
 
 
+@fault
+def starved(day):
+    """One slow endpoint is left of each service, under four times the traffic, half of it repeated hard."""
+    for service in sorted(day.shape['services']):
+        ends = [e for e in day.cast.ends if e.service == service]
+        for e in ends[1:]:
+            e.kill()
+            day.later(ms(9000), lambda e=e: e.up or e.start())
+        ends[0].work = (300, 900)
+        day.later(ms(9000), setattr, ends[0], 'work', (2, 20))
+    for c in day.cast.callers:
+        c.rate, c.storm, c.left = c.rate * 4, 0.5, ms(300)
+        day.later(ms(8000), lambda c=c: c.__dict__.update(rate=c.rate / 4, storm=0.0, left=ms(5000)))
+    return ms(9500)
+
+
 @fault
 def slow_ends(day):
     for e in day.cast.ends:
@@ -790,7 +806,7 @@
     opts = dict(a.lstrip('-').partition('=')[::2] for a in argv)
     if 'help' in opts:
         print(__doc__.strip())
-        print('\n  --search=N   N seeds of random faults from --seed on, 8 at a time'
+        print('\n  --search=N   N seeds of random faults from --seed on, --at-once=8 of them at a time'
               '\n  --shape=small|accra|ukks  --seconds=N  --rate=N  --trace'
               f'\n\nFaults: {", ".join(FAULTS)}')
         return 0
@@ -806,7 +822,8 @@
               ms(1000 * float(opts.get('seconds', 30))), 'trace' in opts,
               rate=float(opts['rate']) if 'rate' in opts else None).run()
     bad = day.verdicts()
-    print(f'{day.cast.tally()} faults of apps {sum(a.faults for a in day.cast.apps)}')
+    print(f'{day.cast.tally()} faults of apps {sum(a.faults for a in day.cast.apps)}'
+          f' worst {checks.figures(day.cast)}' + (f' found nothing to break: {day.missed}' if day.missed else ''))
     for text in bad:
         print(text)
     if bad:
--- a/zinctrail/sim/search.py
+++ b/zinctrail/sim/search.py
@@ -6,6 +6,7 @@
 import traceback
 
 import zinctrail.seam as seam
+import zinctrail.sim.checks as checks
 import zinctrail.sim.days as days
 
 
@@ -30,14 +31,15 @@
     try:
         day = days.Day(seed, names, shape, seam.ms(1000 * seconds), rate=rate).run()
         bad = day.verdicts()
-        return seed, names, bad, day.cast.tally(), day.again()
+        hit = [n for group in names for n in group.split('+') if n not in day.missed]
+        return seed, names, bad, day.cast.tally(), day.again(), checks.figures(day.cast), hit
     except Exception as e:
         # Why caught: one broken seed must not hide the others.
 
         text = traceback.format_exc().strip().splitlines()
         return seed, names, [f'broke: {type(e).__name__}: {e} at {text[-3].strip()}'], {}, (
             f'python -m zinctrail.sim.days --seed={seed} --shape={shape} --faults={",".join(names)}'
-            f' --seconds={seconds:g}')
+            f' --seconds={seconds:g}'), {}, []
 
 
 def main(opts):
@@ -45,14 +47,22 @@
     names = [f for f in opts.get('faults', '').split(',') if f]
     jobs = [(s, opts.get('shape', 'small'), float(opts.get('seconds', 30)),
              float(opts['rate']) if 'rate' in opts else None, names) for s in range(first, first + n)]
-    kinds, tally, bad_seeds = collections.Counter(), collections.Counter(), 0
-    with multiprocessing.Pool(8) as pool:
-        for seed, names, bad, counts, again in pool.imap_unordered(one, jobs):
+    kinds, tally, hits, bad_seeds, worst = collections.Counter(), collections.Counter(), collections.Counter(), 0, {}
+    with multiprocessing.Pool(int(opts.get('at-once', 8))) as pool:
+        for seed, names, bad, counts, again, figures, hit in pool.imap_unordered(one, jobs):
             tally.update(counts)
+            hits.update(hit)
+            for k, v in figures.items():
+                if v > worst.get(k, (v - 1, 0))[0]:
+                    worst[k] = (v, seed)
             if bad:
                 bad_seeds += 1
                 kinds.update({b.split(':', 1)[0] for b in bad})
                 print(f'seed {seed} {names}: {len(bad)} faults\n  ' + '\n  '.join(bad[:4]) + f'\n  replay: {again}',
                       flush=True)
     print(f'{n} seeds, {bad_seeds} with faults: {dict(kinds)}; outcomes {dict(tally)}')
+    print(f'worst (value, seed): {worst}')
+    print(f'days that each fault hit: {dict(sorted(hits.items()))}')
+    if not names:
+        print(f'never hit: {sorted(set(days.FAULTS) - set(hits))}')
     return 1 if bad_seeds else 0
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -253,7 +253,8 @@
         self.by_addr = {}
         self.by_http = {}
         self.ends = {}
-        self.cuts = set()
+        # Why not a set: what is drawn from it must come in the same order every time.
+        self.cuts = {}
         self.loss = 0.0
         self.copies = 0.0
         self.slow = seam.ZERO
@@ -282,7 +283,7 @@
 
     def run(self, length=None, until=None):
         """Run for `length`, or until until() is true; True if it was."""
-        end = self.now + (length or ms(60000))
+        end = self.now + (ms(60000) if length is None else length)
         while self.heap and self.heap[0][0] <= end:
             if until is not None and until():
                 return True
@@ -315,9 +316,9 @@
         return ms(0.2 + self.rng.expovariate(1 / 0.8)) + self.slow
 
     def cut(self, a, b, both=True):
-        self.cuts.add((a, b))
+        self.cuts[a, b] = True
         if both:
-            self.cuts.add((b, a))
+            self.cuts[b, a] = True
 
     def isolate(self, name):
         for other in [*self.nodes, *self.ends]:
@@ -325,7 +326,7 @@
                 self.cut(name, other)
 
     def heal(self, *names):
-        self.cuts = {c for c in self.cuts if names and not (c[0] in names or c[1] in names)}
+        self.cuts = {c: True for c in self.cuts if names and not (c[0] in names or c[1] in names)}
 
     def is_cut(self, a, b):
         return (a, b) in self.cuts
