The last credit goes to the proxy with work, and an id stands for one change

The keeper now gives nothing to spare while another is short. credit.feature: {'e0': 0} before, 1 after. An id used again with another body got the first change's outcome: now 409.

--- a/features/credit.feature
+++ b/features/credit.feature
@@ -53,3 +53,8 @@
     Given a small world with traffic
     When the keeper of a pool leaves
     Then the one it named keeps it, ready at once, and no request fails
+
+  Scenario: What an idle proxy holds to spare goes to one that has work
+    Given a pool of endpoints 1
+    When an idle proxy asks first, and one with 3 waiting asks after it
+    Then once the idle one has asked again, the other is granted 1
--- a/features/late.feature
+++ b/features/late.feature
@@ -49,6 +49,11 @@
       | another operator changes something       |
       | the master is killed                     |
 
+  Scenario: An id that was used for another change is refused
+    Given a small world with traffic
+    When a change is accepted and another is asked for with its id
+    Then it is refused with status 409
+
   Scenario: A late reply takes the place of an unknown outcome
     Given a small world with traffic
     When a request runs longer than its caller waits and is then sent again
--- a/features/steps/late_steps.py
+++ b/features/steps/late_steps.py
@@ -222,3 +222,15 @@
     got = done(context, context.got)
     assert got[1] in (200, 404, 500) and got[3]['zt-outcome'] == 'ran' and got[2]['id'] == context.rid, got
     assert sum(1 for r in context.c.notes.runs if r['id'] == context.rid) == 1
+
+
+@behave.when('a change is accepted and another is asked for with its id')
+def _(context):
+    context.execute_steps('when a change is accepted, its reply gets lost, and it is asked for again with its id')
+    context.body['config']['labels']['10.9.9.9:1'] = {'by': 'another'}
+    context.got = done(context, post(context, context.w.of('dir')[2], '/v1/config', context.body, 'PUT'))
+
+
+@behave.then('it is refused with status {status:d}')
+def _(context, status):
+    assert context.got[1] == status, context.got
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -42,11 +42,11 @@
         self.took = {}
         self.grants = {}
 
-    def want(self, proxy, need, lost=False):
+    def want(self, proxy, need, lost=False, idle=False):
         self.now += ms(100)
         held = self.grants.get(proxy, {})
         got = self.ledger.want(self.now, proxy, {'took': self.took.get(proxy, 0), 'use': {}, 'need': {'': need},
-                                                 'pressure': {}}, self.routes)
+                                                 'idle': idle, 'pressure': {}}, self.routes)
         if got is not None and not lost:
             self.grants[proxy] = got
             self.took[proxy] = self.ledger.holders[proxy].no
@@ -421,3 +421,19 @@
     except faults.DiskFault:
         return
     raise AssertionError('it was taken twice')
+
+
+@behave.when('an idle proxy asks first, and one with {n:d} waiting asks after it')
+def _(context, n):
+    context.wanted = n
+    assert context.pool.want('idle', 1, idle=True) == {'e0': 1}
+    assert not sum(context.pool.want('busy', n).values())
+
+
+@behave.then('once the idle one has asked again, the other is granted {n:d}')
+def _(context, n):
+    for _ in range(2):
+        # Why twice: what it gave back counts until it has shown that it took that.
+        context.pool.want('idle', 1, idle=True)
+    assert sum(context.pool.want('busy', context.wanted).values()) == n
+    assert not sum(context.pool.want('idle', 1, idle=True).values())
--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -119,7 +119,7 @@
     'probe_ep_re': {'inc': text, 'ok': flag},
     'suspect': {'inc': text},
     'want': {'pool': text, 'fence': count, 'no': count, 'took': count, 'use': use, 'need': use,
-             'pressure': table(ratio)},
+             'idle_': flag, 'pressure': table(ratio)},
     'credit': {'pool': text, 'fence': count, 'grants': use, 'no': count, 'seq': count},
     'collect': {'pool': text, 'fence': count},
     'held': {'pool': text, 'fence': count, 'held': use, 'use': use},
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -5,6 +5,9 @@
 id's result is kept, so that a repeat after a lost reply does not act twice.
 """
 
+import json
+import zlib
+
 import zinctrail.faults as faults
 import zinctrail.seam as seam
 
@@ -46,8 +49,9 @@
     """Act for an id, or give the result that it had."""
     call = text(args, 'id')
     done = txn.get('done', call)
+    of = zlib.crc32(json.dumps(args, sort_keys=True).encode())
     if done is not None:
-        if done['op'] != name:
+        if done['op'] != name or done['of'] != of:
             raise faults.CallFault(409, 'this id was used for another operation')
         return done['result']
     epoch = txn.get('meta', 'epoch') or 0
@@ -56,7 +60,7 @@
     if not seam.is_whole(made) or len(made) > 11 or not epoch - core.bounds.epochs_kept < int(made) <= epoch:
         raise faults.CallFault(400, f'id must begin with an epoch in use (now {epoch}) and a dot', epoch=epoch)
     res = fn(core, txn, args)
-    txn.put('done', call, {'op': name, 'result': res, 'epoch': epoch})
+    txn.put('done', call, {'op': name, 'of': of, 'result': res, 'epoch': epoch})
     return res
 
 
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -381,6 +381,7 @@
             p.fence, p.took = duty['fence'], 0
             p.sent.clear()
         need = collections.Counter()
+        idle = not p.queue and not any(p.use.values()) and not any(p.met.values())
         for home, n in p.met.items():
             need[home] += n
         for rec in p.queue:
@@ -393,7 +394,7 @@
         while len(p.sent) > 50:
             p.sent.popitem(last=False)
         self.tell(duty['addr'], 'want', pool=name, fence=duty['fence'], no=no, took=p.took,
-                  use={i: n for i, n in p.use.items() if n}, need=dict(need),
+                  use={i: n for i, n in p.use.items() if n}, need=dict(need), idle=idle,
                   pressure={i: self.pressure[i] for i in self.routes.pool(name) if i in self.pressure})
 
     def alarm_wants(self):
--- a/zinctrail/dir/keeper.py
+++ b/zinctrail/dir/keeper.py
@@ -16,6 +16,9 @@
         self.held = {}
         self.use = {}
         self.need = {}
+        # Whether it asks only to have some to spare; whether it got less than its work needs.
+        self.idle = False
+        self.short = False
         self.no = 0
         self.sent = {}
         self.until = seam.ZERO
@@ -75,7 +78,7 @@
             h.held = dict(h.sent)
         else:
             h.held = {i: max(h.held.get(i, 0), h.sent.get(i, 0)) for i in {**h.held, **h.sent}}
-        h.use, h.need = msg['use'], msg['need']
+        h.use, h.need, h.idle = msg['use'], msg['need'], msg.get('idle', False)
         for inc, p in msg['pressure'].items():
             self.pressure[inc] = p
         grants = self.share(proxy, h, routes)
@@ -98,11 +101,14 @@
         for inc in routes.pool(self.pool):
             if routes.usable(inc):
                 free[inc] = max(0, self.cap(inc, routes) - sum(o.counted(inc) for o in others))
+        # Why none to spare then: an idle proxy must not sit on the last credit while another has work for it.
+        scarce = h.idle and any(o.short for o in others)
+        h.short = False
         # Why what is used comes first: work that is already there can't be given to another.
         for inc, n in h.use.items():
             if inc in free:
                 grants[inc] = min(n, free[inc])
-        for home, n in sorted(h.need.items()):
+        for home, n in sorted(h.need.items()) if not scarce else ():
             regions = [r for r in home.split(',') if r]
             incs = [i for i in free if not regions or routes.region(routes.end(i)['cell']) in regions]
             total = sum(self.cap(i, routes) for i in incs)
@@ -119,4 +125,5 @@
                                                ) / self.cap(i, routes), i))
                 grants[i] = grants.get(i, 0) + 1
                 have += 1
+            h.short = h.short or (have < n and not h.idle)
         return grants
