First start with seeds of one's own for each process: two thirds of all namings

Ruled out: distinct addresses instead of namings (each stale one counts as much as a seed named by all; a third is passed at once), a plain majority (halves of a split can both have it).

--- a/features/boot.feature
+++ b/features/boot.feature
@@ -44,3 +44,20 @@
     When they first start together
     And regions are configured
     Then five cores vote, and no region has more than two of them
+
+  Scenario Outline: Each process has three seeds of its own, of any role, a fifth of them stale
+    When accra first starts <how> under seeds 1 to 3
+    Then one cluster forms and everybody joins it
+    Examples:
+      | how          |
+      | together     |
+      | late         |
+      | lossy        |
+      | split        |
+      | split_uneven |
+      | split_roles  |
+
+  Scenario: A start that can not form says why
+    Given 3 cores and 3 directories whose seeds are core0,core1,dir0
+    When they first start with core0 and dir0 never starting
+    Then core1 says which seeds are silent, in its log and its status
--- a/features/steps/sim_steps.py
+++ b/features/steps/sim_steps.py
@@ -3,7 +3,9 @@
 import behave
 
 import zinctrail.agree.partner as partner
+import zinctrail.fleet as fleet
 import zinctrail.seam as seam
+import zinctrail.sim.boots as boots
 import zinctrail.sim.cast as cast
 import zinctrail.sim.world as world
 
@@ -231,3 +233,23 @@
         vc = m.rep.get('meta', 'vc')
         regions = [partner.place_of(m.rep.get('cells'), m.rep.get('members')[n]['cell']) for n in vc['accepted']]
         assert len(regions) == 5 and max(regions.count(r) for r in regions) == 2, (w.seed, vc, regions)
+
+
+@behave.when('accra first starts {how} under seeds {low:d} to {high:d}')
+def _(context, how, low, high):
+    context.boots = [boots.Boot(s, fleet.PRESETS['accra'], 0.2, how).run() for s in range(low, high + 1)]
+
+
+@behave.then('one cluster forms and everybody joins it')
+def _(context):
+    for b in context.boots:
+        assert b.verdict() == '', (b.seed, b.how, b.verdict())
+
+
+@behave.then('core1 says which seeds are silent, in its log and its status')
+def _(context):
+    for w in context.boot.worlds:
+        n = w.nodes['core1']
+        silent = sorted(w.nodes[x].place.addr for x in ('core0', 'dir0'))
+        assert n.machine.status()['waits_to_form']['silent'] == silent
+        assert any('Waits to form' in t and silent[0] in t for _, t in n.logs), n.logs[-3:]
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -143,7 +143,7 @@
         self.alarm('find', self.bounds.probe)
         self.finds += 1
         for addr in self.find_targets():
-            self.tell(addr, 'probe', member=self.member(), **self.find_extra())
+            self.tell(addr, 'probe', member=self.member(), seeds=self.place.seeds, **self.find_extra())
         old = self.now - self.bounds.remember
         here = {m['addr'] for m in self.rep.get('members').values()}
         for addr in [a for a, k in self.known.items() if k['since'] < old and a not in here]:
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -7,6 +7,7 @@
 import collections
 import uuid
 
+import zinctrail.agree.frames as frames
 import zinctrail.agree.journal as journal
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
@@ -14,6 +15,8 @@
 import zinctrail.seam as seam
 
 tup = partner.tup
+# Why: a process's list of seeds is short; what it may make us probe is bounded.
+SEEDS_MOST = 16
 NO_MASTER = {'status': 421, 'fault': 'not the master'}
 LOST = {'status': 504, 'unknown': True, 'fault': 'the master changed before the outcome was known'}
 
@@ -107,6 +110,8 @@
         self.votes = None
         self.voted_at = None
         self.views = {}
+        # Which seeds each process heard of was given: {its address: (when heard, seeds)}.
+        self.named = {}
         self.boot_seen = None
         self.boot_rounds = 0
         self.boots = None
@@ -200,7 +205,24 @@
             # Why go on looking: a node whose seeds are all stale is found at its old address.
             here = {p.addr for p in self.peers.values()}
             return sorted(a for a in self.known if a not in here)
-        return super().find_targets()
+        out = super().find_targets()
+        if self.mode == 'candidate' and self.empty():
+            # Why all that anybody names: whether they answer decides whether we may form.
+            out = sorted({*out, *self.all_named()} - {self.place.addr})
+        return out
+
+    def m_probe(self, env):
+        self.note_named(env)
+        super().m_probe(env)
+
+    def note_named(self, env):
+        if self.empty():
+            self.named[env['a']] = (self.now, [s for s in env.get('seeds', ()) if frames.is_addr(s)][:SEEDS_MOST])
+
+    def all_named(self):
+        """Every naming of a seed by a process heard lately, of any role, ourselves included."""
+        limit = self.now - self.bounds.probe * 10
+        return [s for at, seeds in self.named.values() if at >= limit for s in seeds] + list(self.place.seeds)
 
     def fresh_known(self):
         # Why three probes: one lost answer must not change the set.
@@ -217,12 +239,19 @@
                 view |= set(doc['partners'])
         return sorted(view)
 
-    def seeds_ok(self):
+    def seeds_heard(self):
+        """(how many of all namings of seeds answer, how many there are, the silent ones)"""
         limit = self.now - self.bounds.probe * 3
-        seeds = set(self.place.seeds)
-        up = [s for s in seeds if s == self.place.addr
-              or (s in self.known and self.known[s]['at'] is not None and self.known[s]['at'] >= limit)]
-        return 2 * len(up) > len(seeds)
+        named = self.all_named()
+        silent = [s for s in named if s != self.place.addr and not (
+            s in self.known and self.known[s]['at'] is not None and self.known[s]['at'] >= limit)]
+        return len(named) - len(silent), len(named), sorted(set(silent))
+
+    def seeds_ok(self):
+        up, named, _ = self.seeds_heard()
+        # Why two thirds of all namings: two groups that can't see each other can't both have as many of what
+        # their own members name, unless their members were given seeds apart (docs/notes/membership.md).
+        return named > 0 and 3 * up >= 2 * named
 
     def empty(self):
         return self.rep.accepted == (0, 0) and not self.cluster
@@ -233,6 +262,7 @@
         return {'view': self.boot_view(), 'seeds_ok': self.seeds_ok()}
 
     def m_probe_re(self, env):
+        self.note_named(env)
         super().m_probe_re(env)
         self.views[env['f']] = (self.now, {
             'partners': [n for _, n, fresh in env['partners'] if n and fresh],
@@ -269,14 +299,27 @@
                         for n in view if n != self.node))
         self.boot_rounds = self.boot_rounds + 1 if good and view == self.boot_seen else 0
         self.boot_seen = view
+        self.say_waiting(good)
         if self.boot_rounds >= 4 and view[0] == self.node:
             cluster = uuid.UUID(int=self.rng.getrandbits(128), version=4).hex
             self.log(f'Forms cluster {cluster} of {len(view)}.')
             self.take_boot(cluster, view)
             self.push_boot()
 
+    def say_waiting(self, good):
+        """Why nothing forms yet, now and then: whoever starts the machines has to know."""
+        if good or self.finds % 25:
+            return
+        up, named, silent = self.seeds_heard()
+        if not self.seeds_ok():
+            self.log(f'Waits to form: {up} of {named} seeds named by all we hear answer, two thirds must;'
+                     f' silent: {", ".join(silent[:10])}.')
+        else:
+            self.log(f'Waits to form: not all of the {len(self.boot_view())} control nodes heard of agree on the set.')
+
     def take_boot(self, cluster, view):
         self.cluster = cluster
+        self.named = {}
         vc = {'committed': view, 'accepted': view}
         full = {'meta': {'cluster': cluster, 'vc': vc, 'boot': view, 'routes': [0, 1]}}
         self.rep.accept((0, 1), full=full)
@@ -921,6 +964,9 @@
 
     def status(self):
         s = super().status()
+        if self.empty():
+            up, named, silent = self.seeds_heard()
+            s['waits_to_form'] = {'seeds_named': named, 'answer': up, 'silent': silent, 'control_nodes': self.boot_view()}
         s.update(unfit=self.unfit, voters=self.vc(), counts=dict(self.counts), queue=len(self.tasks),
                  members={n: {**row, 'ack_ms': partner.age(self.now, self.peers[n].ack_at) if n in self.peers else 0,
                               'generation': list(self.peers[n].committed) if n in self.peers else
