--- a/features/agree.feature
+++ b/features/agree.feature
@@ -180,3 +180,15 @@
       | answer | 6000 | refused |
       | check  | 0    | refused |
       | check  | 700  | refused |
+
+  Scenario: A folder as the first landing wrote it is read and gone on with
+    Given the folder of format 1
+    When a control node starts on it
+    Then it has the settings, the key, the number and the lock, and is of format 2
+    And the lock is renewed by its holder, refused to another, and freed by its taking
+
+  Scenario: A folder of a newer program is refused and left untouched
+    Given the folder of format 1
+    But its format is said to be 99
+    When ztcore is started on it
+    Then it ends with code 2, names both formats, and every file is as it was
--- a/features/steps/agree_steps.py
+++ b/features/steps/agree_steps.py
@@ -1,18 +1,26 @@
 import dataclasses
+import os
 import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import types
 
 import behave
 
 import zinctrail.agree.journal as journal
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
+import zinctrail.agree.voter as voter
 import zinctrail.bounds as bounds
+import zinctrail.ctl.coord as coord
 import zinctrail.ctl.core as core
 import zinctrail.data.proxy as proxy
+import zinctrail.edge.disk as disk
 import zinctrail.faults as faults
 import zinctrail.seam as seam
 
-partner.Partner.strict = True
 CLUSTER = 'c1'
 
 
@@ -424,3 +432,66 @@
 @behave.then('it asks to join')
 def _(context):
     assert context.rig.sent('join') and not context.rig.sent('chk_re') and context.rig.m.mode == 'candidate'
+
+
+# -- formats of the data folder -----------------------------------------------
+
+@behave.given('the folder of format 1')
+def _(context):
+    context.folder = os.path.join(tempfile.mkdtemp(prefix='zt-format-'), 'data')
+    shutil.copytree(os.path.join(os.path.dirname(__file__), '..', 'data', 'format1'), context.folder)
+
+
+@behave.when('a control node starts on it')
+def _(context):
+    d = disk.Disk(context.folder)
+    m = context.m = core.Core(partner.Place('127.0.0.1:1', '127.0.0.1:2', 'r0/c0', []), bounds.Bounds(),
+                              random.Random(1), d.load())
+    for e in m.feed('start', seam.ms(1)):
+        if isinstance(e, seam.Write):
+            d.write(e.name, e.text, e.gone)
+    d.lock.close()
+
+
+@behave.then('it has the settings, the key, the number and the lock, and is of format 2')
+def _(context):
+    tables = context.m.rep.whole()
+    assert set(tables['conf']) >= {'pools/loans', 'rules/loans'} and tables['keys']['k']['value'] == 'v'
+    assert tables['numbers']['n'] == 2 and tables['locks']['l']['holder'] == 'x'
+    files = disk.Disk(context.folder).load()
+    assert journal.dec('node', files['node'])['format'] == 2
+
+
+@behave.then('the lock is renewed by its holder, refused to another, and freed by its taking')
+def _(context):
+    m = context.m
+    m.lock_until = {'l': seam.ms(60000)}
+    txn = voter.Txn(m.rep, (2, 99), seam.ms(10))
+    got = txn.run(lambda t: coord.run(m, t, 'lock.take', {'name': 'l', 'holder': 'x', 'id': 'a'}))
+    assert got['status'] == 200 and got['fence'] == 2 and got['take'] == 'a', got
+    assert txn.run(lambda t: coord.run(m, t, 'lock.take', {'name': 'l', 'holder': 'y', 'id': 'b'}))['status'] == 409
+    assert txn.run(lambda t: coord.run(m, t, 'lock.free', {'name': 'l', 'holder': 'x', 'take': 'a'}))['freed']
+
+
+@behave.given('its format is said to be {level:d}')
+def _(context, level):
+    name = os.path.join(context.folder, 'node')
+    with open(name) as f:
+        doc = dict(journal.dec('node', f.read()), format=level)
+    with open(name, 'w') as f:
+        f.write(journal.enc(doc))
+    context.before = disk.Disk.load(types.SimpleNamespace(folder=context.folder))
+
+
+@behave.when('ztcore is started on it')
+def _(context):
+    context.got = subprocess.run(
+        [sys.executable, '-m', 'zinctrail.prog.ztcore', '--addr=127.0.0.1:1', '--http=127.0.0.1:2', '--cell=c',
+         '--seeds=127.0.0.1:1', f'--data={context.folder}'], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        timeout=60)
+
+
+@behave.then('it ends with code 2, names both formats, and every file is as it was')
+def _(context):
+    assert context.got.returncode == 2 and '99' in context.got.stderr and 'up to 2' in context.got.stderr, context.got
+    assert disk.Disk.load(types.SimpleNamespace(folder=context.folder)) == context.before
--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -1,6 +1,6 @@
 """How a voter's memory is laid out on disk, without touching one.
 
-  node          who this is
+  node          who this is, and the level of the folder's format (1 where none is told)
   term          current term and vote
   ckpt-G-T      everything, as of generation G accepted in term T
   gen-G-T       the rows of one generation, and the (term, generation) it builds on
@@ -15,6 +15,10 @@
 import zinctrail.faults as faults
 
 
+# 2: locks name their taking, call results what they were for, incarnations gone are rows.
+FORMAT = 2
+
+
 def enc(doc):
     text = json.dumps(doc, separators=(',', ':'), sort_keys=True)
     return f'{zlib.crc32(text.encode()):08x} {text}'
@@ -62,6 +66,10 @@
             raise faults.DamageFault('node: missing beside acknowledged files')
         return None, '', 0, None, rep
     node = dec('node', files['node'])
+    level = node.get('format', 1)
+    if level > FORMAT:
+        raise faults.FormatFault(f'data folder has format {level}, this program reads up to {FORMAT}:'
+                                 ' start the program that wrote it')
     term = dec('term', files['term']) if 'term' in files else {'term': 0, 'vote': None}
     names = {n: at_of(n) for n in files if n.startswith(('gen-', 'ckpt-'))}
     top = max([at for n, at in names.items() if n.startswith('ckpt-')], default=(0, 0))
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -146,13 +146,16 @@
             self.log(f'Its cluster was given up for {self.given_up}: does nothing; clear the data folder.')
             return
         left = journal.needless(self.files)
-        if self.fresh or left:
-            # Why now: over restarts more frequent than checkpoints they would pile up.
-            self.write('node', {'id': self.node}, left)
+        # Why now: over restarts more frequent than checkpoints they would pile up.
+        self.write('node', self.who(), left)
         for node, m in self.rep.whole().get('members', {}).items():
             self.remember(m['addr'], node, m['role'])
         super().on_start()
 
+    def who(self):
+        # Why at every start: from here on the folder may hold what older programs can't read.
+        return {'id': self.node, 'format': journal.FORMAT}
+
     def raise_term(self, term, vote=None):
         self.term = term
         self.vote = vote
@@ -189,7 +192,7 @@
 
     def alarm_disk(self):
         # Why everything again: any of the writes since may be the one that is missing.
-        self.write('node', {'id': self.node})
+        self.write('node', self.who())
         self.write('term', {'term': self.term, 'vote': self.vote})
         if self.rep.accepted > (0, 0):
             self.write_ckpt()
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -52,7 +52,7 @@
     done = txn.get('done', call)
     of = zlib.crc32(json.dumps(args, sort_keys=True).encode())
     if done is not None:
-        if done['op'] != name or done['of'] != of:
+        if done['op'] != name or done.get('of', of) != of:
             raise faults.CallFault(409, 'this id was used for another operation')
         return done['result']
     epoch = txn.get('meta', 'epoch') or 0
@@ -78,7 +78,7 @@
         raise faults.CallFault(409, 'held by another', holder=row['holder'], retry_ms=max(50, min(left, 1000)))
     if not row or row['holder'] != holder or core.lock_until.get(name, txn.now) <= txn.now:
         row = {'holder': holder, 'fence': next_rev(txn), 'lease_ms': lease, 'take': by or str(head(txn))}
-    elif row['take'] != by or not by:
+    elif row.get('take') != by or not by:
         # Why a write for a renewal: a freeing meant for an earlier taking must be known as late by any master.
         row = dict(row, lease_ms=lease, take=by or str(next_rev(txn)))
     txn.put('locks', name, row)
@@ -91,7 +91,7 @@
     # Why the taking: one that was held up on its way must not free what was taken or renewed since.
     name, holder, take = text(args, 'name'), text(args, 'holder'), text(args, 'take')
     row = txn.get('locks', name)
-    if row and row['holder'] == holder and row['take'] == take:
+    if row and row['holder'] == holder and row.get('take') == take:
         txn.drop('locks', name)
         core.lock_until.pop(name, None)
         return {'status': 200, 'freed': True}
@@ -103,7 +103,7 @@
     row = txn.get('locks', text(args, 'name'))
     if row is None:
         raise faults.CallFault(404, 'not held')
-    return {'status': 200, 'holder': row['holder'], 'fence': row['fence'], 'take': row['take']}
+    return {'status': 200, 'holder': row['holder'], 'fence': row['fence'], 'take': row.get('take', '')}
 
 
 @op('number.next', acts=True)
--- a/zinctrail/faults.py
+++ b/zinctrail/faults.py
@@ -17,6 +17,10 @@
     """Something once acknowledged can no longer be read back whole."""
 
 
+class FormatFault(DiskFault):
+    """The data folder was written by a newer program; it is left as it is."""
+
+
 class CallFault(Fault):
     """A call over HTTP was malformed; `status` is what the caller is told."""
 
