ztctl: status as a table with margins, wait, changes asked again with their id

A lost reply to a change ended in 'may or may not have been done'; ztctl now asks again, through the next address, with the id of the first asking. wait blocks until a generation is in force, an endpoint drained or members are up to date, with exit 5 when its time is over. fleet.feature runs each.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -10,6 +10,8 @@
     And 100 further requests get their outcome, nearly all run
     When the killed core starts again
     Then it is a member again
+    And ztctl's status is a table for people and JSON for scripts
+    And ztctl waits until a change is in force, and no longer than it is told
     When an endpoint drains
     Then 100 further requests leave it alone
     When ztctl evacuates the cell r1/c0
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -441,3 +441,32 @@
     got = f.until(lambda: (lambda r: r[1] if r[0] == 200 else None)(f.call('GET', '/v1/config')), 'a read-back')
     assert got['config'] == context.conf['config'] and got['generation'] > context.conf['generation'], got
     f.until(lambda: len(state(context)['voters']['committed']) == 3, 'three voters')
+
+
+# -- ztctl ----------------------------------------------------------------------
+
+@behave.then("ztctl's status is a table for people and JSON for scripts")
+def _(context):
+    code, out, err = ctl(context, 'status')
+    assert code == 0 and 'least lease left' in out, (code, out, err)
+    for p in context.fleet.of('prox') + context.fleet.of('core'):
+        assert p.http in out, (p.http, out)
+    code, out, err = ctl(context, '--json', 'status')
+    assert code == 0 and json.loads(out)['margins']['least_lease_ms'] > 0, (code, out, err)
+
+
+@behave.then('ztctl waits until a change is in force, and no longer than it is told')
+def _(context):
+    code, out, err = ctl(context, '--nowait', 'label', '127.0.0.1:1', 'a=b')
+    assert code == 0 and out.startswith('generation '), (code, out, err)
+    gen = out.split()[1]
+    assert ctl(context, '--within=20', 'wait', gen)[0] == 0
+    assert ctl(context, '--within=20', 'wait', 'members', str(len(context.fleet.procs)))[0] == 0
+    code, out, err = ctl(context, '--within=0.3', 'wait', str(int(gen) + 10 ** 9))
+    assert code == 5 and 'in vain' in err, (code, out, err)
+    addr = next(iter(context.fleet.endpoints))
+    assert ctl(context, '--within=0.3', 'wait', 'drained', addr)[0] == 5
+    assert ctl(context, '--within=1', 'wait', 'drained', '127.0.0.1:9')[0] == 0
+    for args in (['wait'], ['wait', 'what'], ['wait', 'drained', 'x'], ['wait', 'members', '-1']):
+        code, out, err = ctl(context, *args)
+        assert code == 2 and err, (args, code, err)
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -5,6 +5,7 @@
 import uuid
 
 import zinctrail.agree.frames as frames
+import zinctrail.agree.partner as partner
 import zinctrail.agree.voter as voter
 import zinctrail.ctl.api as api
 import zinctrail.ctl.claims as claims
@@ -346,6 +347,15 @@
         s['cells'] = self.rep.get('cells')
         s['epoch'] = self.rep.get('meta', 'epoch')
         s['rows'] = {t: len(r) for t, r in self.rep.tables.items()}
+        s['config'] = self.rep.get('meta', 'conf') or 0
+        routes = s['routes'] = partner.tup(self.rep.get('meta', 'routes'))[1]
+        behind = [p.ack_at for p in self.peers.values() if p.role != 'core' and p.committed[1] < routes]
+        old = [r['epoch'] for r in self.rep.get('claims').values()]
+        heard = [p.ack_at for p in self.peers.values() if p.role != 'core']
+        # How near each bound is: a member without a lease stops; a claim is forgotten after epochs_kept.
+        s['margins'] = {'unapplied_ms': seam.to_ms(self.now - min(behind)) if behind else 0,
+                        'least_lease_ms': seam.to_ms(self.bounds.lease - (self.now - min(heard))) if heard else 0,
+                        'oldest_claim_epochs': (s['epoch'] or 0) - min(old) if old else 0}
         self.fence(lambda ok: cb({'status': 200, 'state': s} if ok else voter.NO_MASTER))
 
     def serve_watch(self, args, cb):
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -637,7 +637,9 @@
 
     def status(self):
         s = super().status()
-        s.update(table=len(self.table), kept=len(self.kept), counts=dict(self.counts),
+        s.update(table=len(self.table), kept=len(self.kept), counts=dict(self.counts), held=len(self.held),
+                 # What each service may be sent again now: paid for by firsts, and lent without pay.
+                 repeats={n: {'paid': round(w.paid, 1), 'lent': len(w.lent)} for n, w in self.windows.items()},
                  pools={n: {'fence': p.fence, 'granted': sum(p.grants.values()) if p.until > self.now else 0,
                             'use': sum(p.use.values()), 'queue': len(p.queue)} for n, p in self.pools.items()})
         return s
--- a/zinctrail/prog/ztctl.py
+++ b/zinctrail/prog/ztctl.py
@@ -2,7 +2,11 @@
 
   ztctl --at=IP:PORT[,IP:PORT] COMMAND ...
 
-  status                            master, term, generation, members, leases, endpoints
+  status                            master, term, generation, members, leases, endpoints, margins: a table;
+                                    --json for scripts
+  wait GENERATION                   until it is in force on every member, or --within=SECONDS is over (exit 5)
+  wait drained ADDR                 until that endpoint drains or is gone, in force on every member
+  wait members N                    until N members answer and are up to date
   self                              what the process at --at itself knows
   ready                             exit 0 if it is ready
   get                               the configuration in force, fenced
@@ -19,7 +23,8 @@
                                     a new core out of the newest copy
   watch PREFIX [SINCE]              events, a line each, until interrupted (--once: one call)
 
-Exit: 0 done, 1 refused or failed, 2 wrong use, 3 conflict, 4 nobody answers.
+Exit: 0 done, 1 refused or failed, 2 wrong use, 3 conflict, 4 nobody answers,
+5 waited in vain.
 """
 
 import http.client
@@ -33,11 +38,12 @@
 
 import zinctrail.agree.frames as frames
 import zinctrail.ctl.recovery as recovery
+import zinctrail.edge.clock as clock
 import zinctrail.edge.main as main
 import zinctrail.seam as seam
 
 FLAGS = absl.flags.FLAGS
-DONE, FAILED, USAGE, CONFLICT, NOBODY = 0, 1, 2, 3, 4
+DONE, FAILED, USAGE, CONFLICT, NOBODY, IN_VAIN = 0, 1, 2, 3, 4, 5
 
 
 class Stop(Exception):
@@ -89,7 +95,20 @@
 
 
 def put(config, base):
-    doc = must(call('PUT', '/v1/config', {'config': config, 'base': base, 'wait': FLAGS.wait}))
+    # Why an id: a reply that gets lost is asked for again, and the change is not made twice nor called a conflict.
+    body = {'config': config, 'base': base, 'wait': FLAGS.wait, 'id': call_id()}
+    for _ in range(3):
+        try:
+            got = call('PUT', '/v1/config', body)
+            if got[0] not in (503, 504):
+                break
+        except Stop as e:
+            got = e
+        FLAGS.at = FLAGS.at[1:] + FLAGS.at[:1]
+        time.sleep(0.3)
+    if isinstance(got, Stop):
+        raise got
+    doc = must(got)
     print(f'generation {doc["generation"]}' + (' in force' if doc.get('in_force') else ' accepted'))
 
 
@@ -146,7 +165,65 @@
 
 
 def do_status(args):
-    show(must(call('GET', '/v1/status'))['state'])
+    s = must(call('GET', '/v1/status'))['state']
+    if FLAGS.json:
+        return show(s)
+    voters = s['voters']['accepted']
+    print(f'cluster {s["cluster"][:8]}  master {s["http"]}  term {s["term"]}  generation {s["generation"][1]}'
+          f'  configuration {s["config"]}  epoch {s["epoch"]}')
+    m = s['margins']
+    print(f'unapplied for {m["unapplied_ms"]} ms at most  least lease left {m["least_lease_ms"]} ms'
+          f'  oldest claim {m["oldest_claim_epochs"]} epochs')
+    table([('member', 'role', 'cell', 'http', 'votes', 'answered', 'leased', 'behind')] + [
+        (n[:8], r['role'], r['cell'], r['http'], 'yes' if n in voters else '', f'{r["ack_ms"]} ms',
+         'yes' if r['leased'] else 'NO', str(max(0, s['routes'] - r['generation'][1])) if r['role'] != 'core' else '')
+        for n, r in sorted(s['members'].items(), key=lambda kv: (kv[1]['role'], kv[1]['http']))])
+    print()
+    table([('endpoint', 'service', 'cell', 'state', 'slots', 'cold', 'beat')] + [
+        (r['addr'], r['service'], r['cell'], r['state'], str(r['slots']), f'{r["cold"]}/8', f'{r["beat_ms"]} ms')
+        for _, r in sorted(s['endpoints'].items(), key=lambda kv: (kv[1]['service'], kv[1]['addr']))])
+    print()
+    table([('cell', 'region', 'evacuated')] + [
+        (n, r.get('region', ''), 'YES' if r.get('evacuated') else '') for n, r in sorted(s['cells'].items())])
+
+
+def table(rows):
+    wide = [max(len(r[i]) for r in rows) for i in range(len(rows[0]))]
+    for r in rows:
+        print('  '.join(text.ljust(n) for text, n in zip(r, wide)).rstrip())
+
+
+def in_force(s, gen):
+    """Whether every member that acts on routes has this generation, by the word of the master."""
+    return all(r['generation'][1] >= gen for r in s['members'].values() if r['role'] != 'core')
+
+
+def do_wait(args):
+    need(args, 1)
+    if seam.is_whole(args[0]):
+        gen = int(args[0])
+        done = lambda s: s['generation'][1] >= gen and in_force(s, min(gen, s['routes']))
+    elif args[0] == 'drained' and len(args) == 2 and frames.is_addr(args[1]):
+        # Why the newest generation: the mark is somewhere at or below it.
+        done = lambda s: in_force(s, s['routes']) and not any(
+            r['addr'] == args[1] and r['state'] == 'ready' for r in s['endpoints'].values())
+    elif args[0] == 'members' and len(args) == 2 and seam.is_whole(args[1]):
+        done = lambda s: sum(r['leased'] for r in s['members'].values()) >= int(args[1])
+    else:
+        raise Stop(USAGE, 'wait: must be GENERATION, drained IP:PORT or members N')
+    end = clock.seconds() + FLAGS.within
+    while True:
+        try:
+            status, doc = call('GET', '/v1/status', wait=max(0.5, min(5.0, end - clock.seconds())))
+            if status == 200 and done(doc['state']):
+                return
+        except Stop as e:
+            # Why gone on with: whoever waits may wait for a core that is just being restarted.
+            if e.code != NOBODY or clock.seconds() > end:
+                raise
+        if clock.seconds() > end:
+            raise Stop(IN_VAIN, f'waited {FLAGS.within:g} s in vain')
+        time.sleep(0.1)
 
 
 def do_get(args):
@@ -278,7 +355,7 @@
 
 
 COMMANDS = {
-    'status': do_status, 'get': do_get, 'check': do_check, 'apply': do_apply, 'label': do_label, 'cell': do_cell,
+    'wait': do_wait, 'status': do_status, 'get': do_get, 'check': do_check, 'apply': do_apply, 'label': do_label, 'cell': do_cell,
     'evacuate': do_evacuate, 'return': lambda args: do_evacuate(args, False), 'ready': do_ready,
     'self': lambda args: show(must(call('GET', '/v1/self'))['state']),
     'recover': do_recover, 'lock': do_lock, 'number': do_number, 'key': do_key, 'watch': do_watch,
@@ -292,6 +369,8 @@
     absl.flags.DEFINE_integer('rev', None, 'The revision a key must be at (0: must not exist).')
     absl.flags.DEFINE_integer('lock_ms', 5000, 'How long a lock is taken for.')
     absl.flags.DEFINE_string('confirm', None, 'recover: the first letters of the cluster that is given up.')
+    absl.flags.DEFINE_bool('json', False, 'status: JSON instead of a table.')
+    absl.flags.DEFINE_float('within', 30, 'wait: so many seconds at the most.', lower_bound=0)
     absl.flags.DEFINE_bool('once', False, 'watch: one call only.')
     args = main.parse(__doc__)
     if not FLAGS.at:
