--- a/zinctrail/__init__.py
+++ b/zinctrail/__init__.py
@@ -1,5 +1,5 @@
 """zinctrail: a global load balancer whose nodes act as one."""
 
-__version__ = '0.1.0'
+__version__ = '0.2.0'
 # Why a level apart from the release: neighbours one level apart must work together.
 WIRE_LEVEL = 1
--- a/zinctrail/fleet.py
+++ b/zinctrail/fleet.py
@@ -310,6 +310,7 @@
             if p.role == 'prox':
                 out['sends'] += c.get('sends', 0)
                 out['connections'] += h['opened']
+                out['asked'] += h['asked']
             if p.role == 'core':
                 out['syncs'] += h.get('writes', 0)
                 out['probes'] += c.get('probes', 0)
