A proxy keeps no row of endpoints that are gone

Cause: credit in use was counted down to nought and left as a row for every incarnation ever met; those marked as broken too. Found by looking for what grows.

--- a/features/credit.feature
+++ b/features/credit.feature
@@ -58,3 +58,8 @@
     Given a pool of endpoints 1
     When an idle proxy asks first, and one with 3 waiting asks after it
     Then once the idle one has asked again, the other is granted 1
+
+  Scenario: Endpoints that come and go leave nothing behind in a proxy
+    Given a small world with traffic
+    When every endpoint is replaced 6 times over
+    Then no proxy keeps a row of an endpoint that is gone
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -437,3 +437,23 @@
         context.pool.want('idle', 1, idle=True)
     assert sum(context.pool.want('busy', context.wanted).values()) == n
     assert not sum(context.pool.want('idle', 1, idle=True).values())
+
+
+@behave.when('every endpoint is replaced {n:d} times over')
+def _(context, n):
+    for _ in range(n):
+        for e in context.c.ends:
+            e.kill()
+            e.start()
+        context.w.run(ms(2500))
+    context.c.quiet(ms(15000))
+
+
+@behave.then('no proxy keeps a row of an endpoint that is gone')
+def _(context):
+    here = set(context.w.master().machine.rep.get('endpoints'))
+    assert len(here) == len(context.c.ends)
+    for n in context.w.of('prox'):
+        m = n.machine
+        kept = {i for p in m.pools.values() for i in [*p.use, *p.grants]} | set(m.pressure) | set(m.broken)
+        assert kept <= here, (n.name, kept - here)
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -462,7 +462,7 @@
             self.held.append((self.now + min(self.bounds.linger, seam.ms(max(100, 4 * p.took_ms))), pool, inc))
             self.alarm_at('held', self.held[-1][0])
         else:
-            p.use[inc] -= 1
+            self.unuse(p, inc)
         if not res.fault:
             # Why smoothed: one slow reply must not close a pool, a run of them should.
             took = seam.to_ms(self.now - began)
@@ -479,12 +479,18 @@
             self.late_word(rec, res)
         self.unqueue(pool)
 
+    def unuse(self, p, inc):
+        p.use[inc] -= 1
+        if not p.use[inc]:
+            # Why forgotten: incarnations come and go, and each would leave a row behind.
+            del p.use[inc]
+
     def alarm_held(self):
         """Credit held for work whose end nobody told."""
         over = [h for h in self.held if h[0] <= self.now]
         self.held = [h for h in self.held if h[0] > self.now]
         for _, pool, inc in over:
-            self.pool(pool).use[inc] -= 1
+            self.unuse(self.pool(pool), inc)
         for pool in sorted({pool for _, pool, _ in over}):
             self.unqueue(pool)
         if self.held:
@@ -591,8 +597,8 @@
         for inc in sorted(self.incs - incs):
             # Why closed: whoever has its address next must not get what was meant for it.
             self.out.append(seam.Close(inc))
-            self.broken.pop(inc, None)
             self.pressure.pop(inc, None)
+        self.broken = {i: at for i, at in self.broken.items() if at > self.now}
         self.incs = incs
         epoch = self.rep.get('meta', 'epoch') or 0
         for rid in [r for r, k in self.kept.items() if k.epoch <= epoch - self.bounds.epochs_kept and not k.open]:
