--- a/features/steps/recover_steps.py
+++ b/features/steps/recover_steps.py
@@ -171,10 +171,8 @@
     w = context.w
     context.cores = w.of('core')
     names = {n.name for n in context.cores}
-    for a in names:
-        for b in [*w.nodes, 'new0', 'new1', 'new2', 'operator']:
-            if b not in names:
-                w.cut(a, b)
+    # Why those too that are not there yet: they are to find the old cores gone.
+    w.part(names, [*w.nodes, 'new0', 'new1', 'new2', 'operator'])
     recover(context)
     w.run(ms(4000))
 
--- a/features/steps/sim_steps.py
+++ b/features/steps/sim_steps.py
@@ -71,10 +71,7 @@
 def _(context, group):
     group = group.split(',')
     for w in context.boot.worlds:
-        for a in group:
-            for b in w.nodes:
-                if b not in group:
-                    w.cut(a, b)
+        w.part(group)
         start_apart(context, w)
 
 
--- a/zinctrail/sim/boots.py
+++ b/zinctrail/sim/boots.py
@@ -60,10 +60,7 @@
         else:
             k = len(names) // 2 if self.how == 'split' else rng.randrange(3, len(names) // 2)
             side = set(rng.sample(names, k))
-        for a in sorted(side):
-            for b in names:
-                if b not in side:
-                    w.cut(a, b)
+        w.part(side)
 
     def look(self):
         self.clusters |= {n.machine.cluster for n in self.world.masters()
--- a/zinctrail/sim/checks.py
+++ b/zinctrail/sim/checks.py
@@ -72,12 +72,18 @@
     return out
 
 
-@check('drained-reached')
-def drained_reached(cast):
-    out = []
+def drained_at(cast):
+    """When each incarnation was first told to drain or leave."""
     told = {}
     for t, _, inc, _ in cast.notes.states:
         told.setdefault(inc, t)
+    return told
+
+
+@check('drained-reached')
+def drained_reached(cast):
+    out = []
+    told = drained_at(cast)
     for r in cast.notes.arrivals:
         if r['meant'] in told and r['t'] > told[r['meant']] + ms(3000):
             out.append(f'{r["id"]} reached {r["meant"]} {sec(r["t"] - told[r["meant"]])} after it drained')
@@ -345,9 +351,7 @@
 
     def worst(name, val):
         out[name] = max(out.get(name, val), val)
-    drained = {}
-    for t, _, inc, _ in n.states:
-        drained.setdefault(inc, t)
+    drained = drained_at(cast)
     for r in n.arrivals:
         for name, at in (('drained_ms', drained.get(r['meant'])), ('gone_ms', n.gone.get(r['meant']))):
             if at is not None and r['t'] > at:
--- a/zinctrail/sim/days.py
+++ b/zinctrail/sim/days.py
@@ -342,9 +342,7 @@
     """The master is cut from the other control nodes only; directories and proxies still reach it."""
     m = day.world.master()
     if m:
-        for n in day.world.of('core'):
-            if n is not m:
-                day.world.cut(m.name, n.name)
+        day.world.part([m.name], [n.name for n in day.world.of('core')])
     day.later(ms(6000), day.world.heal)
     return ms(6000)
 
@@ -358,9 +356,7 @@
 
 def _cut_off(day, length=ms(8000)):
     n = day.pick('prox')
-    for other in day.world.nodes:
-        if other != n.name:
-            day.world.cut(n.name, other)
+    day.world.part([n.name])
     day.later(length, day.world.heal)
     return n
 
@@ -385,8 +381,7 @@
 def stale_gone(day):
     """As stale_drain, but the endpoint lives on and only its beats and probes are cut off."""
     _, e = stale(day, ms(13000))
-    for n in day.world.of('core') + day.world.of('dir'):
-        day.world.cut(e.name, n.name)
+    _cut_beats(day, e)
     # Why longer than the other cut: it is declared gone only once its beats have been missed.
     return ms(14000)
 
@@ -419,10 +414,7 @@
     cores = [n.name for n in day.world.of('core')]
     day.rng.shuffle(cores)
     half = cores[:len(cores) // 2]
-    for a in half:
-        for b in day.world.nodes:
-            if b not in half:
-                day.world.cut(a, b)
+    day.world.part(half)
     day.later(ms(6000), day.world.heal)
     return ms(6000)
 
@@ -435,10 +427,7 @@
         day.miss('split_with_master')
         return ms(0)
     side = [m.name, day.pick('dir').name, day.pick('prox').name]
-    for a in side:
-        for b in day.world.nodes:
-            if b not in side:
-                day.world.cut(a, b)
+    day.world.part(side)
     day.later(ms(6000), day.world.heal)
     return ms(6000)
 
@@ -446,11 +435,7 @@
 @fault
 def split_core_from_rest(day):
     """All control nodes see one another and nobody else sees them."""
-    cores = [n.name for n in day.world.of('core')]
-    for a in cores:
-        for b in day.world.nodes:
-            if b not in cores:
-                day.world.cut(a, b)
+    day.world.part([n.name for n in day.world.of('core')])
     day.later(ms(5000), day.world.heal)
     return ms(5000)
 
@@ -503,11 +488,7 @@
 @fault
 def region_for_good(day):
     """A region's machines are gone for good, and then one more control node, where there are enough."""
-    gone = day.rng.choice(day.cast.cells).split('/')[0]
-    _scrap(day, [n for n in day.world.nodes.values() if n.place.cell.split('/')[0] == gone])
-    for e in day.cast.ends:
-        if e.cell.split('/')[0] == gone and e.up:
-            e.kill()
+    _scrap_place(day, lambda cell, gone=day.rng.choice(day.cast.cells).split('/')[0]: cell.split('/')[0] == gone)
     cores = [n for n in day.world.of('core') if not n.scrapped]
     if len(cores) > 3:
         day.later(ms(8000), lambda: _scrap(day, [day.rng.choice(cores)]))
@@ -518,11 +499,7 @@
 @fault
 def cell_for_good(day):
     """A zone's machines and endpoints are gone for good."""
-    gone = day.rng.choice(day.cast.cells)
-    _scrap(day, [n for n in day.world.nodes.values() if n.place.cell == gone])
-    for e in day.cast.ends:
-        if e.cell == gone and e.up:
-            e.kill()
+    _scrap_place(day, lambda cell, gone=day.rng.choice(day.cast.cells): cell == gone)
     return ms(1000)
 
 
@@ -533,6 +510,13 @@
     return ms(1000)
 
 
+def _scrap_place(day, lost):
+    _scrap(day, [n for n in day.world.nodes.values() if lost(n.place.cell)])
+    for e in day.cast.ends:
+        if lost(e.cell) and e.up:
+            e.kill()
+
+
 def _scrap(day, nodes):
     for n in nodes:
         n.kill(power=True)
@@ -581,12 +565,15 @@
     return ms(10000)
 
 
+def _cut_beats(day, e):
+    """Cut an endpoint from whoever takes its beats or probes it; proxies still reach it."""
+    day.world.part([e.name], [n.name for n in day.world.of('core') + day.world.of('dir')])
+
+
 @fault
 def beats_cut(day):
     """An endpoint lives and serves on, and only its beats and the control nodes' probes are cut off."""
-    e = an_end(day)
-    for n in day.world.of('core') + day.world.of('dir'):
-        day.world.cut(e.name, n.name)
+    _cut_beats(day, an_end(day))
     day.later(ms(12000), day.world.heal)
     return ms(12000)
 
@@ -594,10 +581,7 @@
 @fault
 def beats_late(day):
     """Beats of an incarnation that was declared gone go on arriving, from one directory to the next master."""
-    e = an_end(day)
-    cell = [n for n in day.world.of('core') + day.world.of('dir')]
-    for n in cell:
-        day.world.cut(e.name, n.name)
+    _cut_beats(day, an_end(day))
     day.later(ms(7500), day.world.heal)
     day.later(ms(7300), lambda: kill_master(day))
     return ms(13000)
@@ -614,17 +598,17 @@
 
 @fault
 def end_drains(day):
-    e = an_end(day)
-    e.set_state('draining')
-    day.later(ms(6000), e.kill)
-    day.later(ms(7000), e.start)
-    return ms(7000)
+    return _goes(day, 'draining')
 
 
 @fault
 def end_leaves(day):
+    return _goes(day, 'leaving')
+
+
+def _goes(day, state):
     e = an_end(day)
-    e.set_state('leaving')
+    e.set_state(state)
     day.later(ms(6000), e.kill)
     day.later(ms(7000), e.start)
     return ms(7000)
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -318,6 +318,13 @@
         if both:
             self.cuts[b, a] = True
 
+    def part(self, side, rest=None):
+        """Cut a group of processes from all others, or from those named only."""
+        for a in side:
+            for b in self.nodes if rest is None else rest:
+                if b not in side:
+                    self.cut(a, b)
+
     def isolate(self, name):
         for other in [*self.nodes, *self.ends]:
             if other != name:
@@ -382,9 +389,8 @@
     def fetch_end(self, src, e):
         """A call to one incarnation: a new connection is asked who is there before its first request."""
         there, life = self.links.get((src, e.inc), (None, 0))
-        if there is not None and self.ends.get(e.addr) is there and there.life == life:
-            return self.fetch(src, e.addr, e.method, e.path, e.headers, e.body, e.wait)
-        if e.path == '/zt/live' or not self.verifies:
+        kept = there is not None and self.ends.get(e.addr) is there and there.life == life
+        if kept or e.path == '/zt/live' or not self.verifies:
             return self.fetch(src, e.addr, e.method, e.path, e.headers, e.body, e.wait)
         until = self.now + e.wait
         self.verified += 1
