--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -34,10 +34,6 @@
     return isinstance(val, (list, tuple)) and len(val) == 2 and count(val[0]) and count(val[1])
 
 
-def pair_or_none(val):
-    return val is None or pair(val)
-
-
 def table(check):
     return lambda val: isinstance(val, dict) and all(text(k) and check(v) for k, v in val.items())
 
@@ -46,6 +42,10 @@
     return lambda val: isinstance(val, (list, tuple)) and all(check(v) for v in val)
 
 
+def maybe(check):
+    return lambda val: val is None or check(val)
+
+
 def any_(val):
     return True
 
@@ -82,8 +82,7 @@
 
 
 def outcome(val):
-    return val is None or (isinstance(val, (list, tuple)) and len(val) == 3 and whole(val[0]) and table(text)(val[1])
-                           and text(val[2]))
+    return isinstance(val, (list, tuple)) and len(val) == 3 and whole(val[0]) and table(text)(val[1]) and text(val[2])
 
 
 member = fields(role=text, addr=is_addr, http=text, cell=text, level=whole)
@@ -93,13 +92,13 @@
 
 FRAMES = {
     'probe': dict(view, member=member, seeds_=many(text)),
-    'probe_re': dict(view, member=member, term=count, master=lambda v: v is None or master(v), partners=many(partner),
+    'probe_re': dict(view, member=member, term=count, master=maybe(master), partners=many(partner),
                      seeds=many(text)),
     'join': {'member': member, 'accepted': pair, 'term': count},
     'chk': {'to': text, 'term': count, 'round': count},
     'chk_re': {'term': count, 'round': count, 'no_': flag, 'accepted_': pair, 'committed_': pair},
     'grant': {'term': count, 'ack': count},
-    'pub': {'term': count, 'at': pair, 'base_': pair_or_none, 'via_': many(pair), 'rows_': many(row),
+    'pub': {'term': count, 'at': pair, 'base_': maybe(pair), 'via_': many(pair), 'rows_': many(row),
             'full_': table(table(any_))},
     'pub_re': {'term': count, 'at': pair, 'ok': flag, 'accepted_': pair},
     'com': {'term': count, 'at': pair},
@@ -126,7 +125,7 @@
     'held': {'pool': text, 'fence': count, 'held': use, 'use': use},
     'ledger': {'pool': text, 'fence': count, 'ledger': table(held)},
     'kept': {'key': count, 'id': text},
-    'kept_re': {'key': count, 'outcome': outcome, 'cell_': text},
+    'kept_re': {'key': count, 'outcome': maybe(outcome), 'cell_': text},
 }
 
 
--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -50,10 +50,15 @@
         raise faults.DamageFault(f'{name}: not a name of ours') from e
 
 
+def dated(names):
+    """({name: (term, generation)}, that of the newest checkpoint)"""
+    ats = {n: at_of(n) for n in names if n.startswith(('gen-', 'ckpt-'))}
+    return ats, max([at for n, at in ats.items() if n.startswith('ckpt-')], default=(0, 0))
+
+
 def needless(names):
     """Files of before the newest checkpoint."""
-    ats = {n: at_of(n) for n in names if n.startswith(('gen-', 'ckpt-'))}
-    top = max([at for n, at in ats.items() if n.startswith('ckpt-')], default=(0, 0))
+    ats, top = dated(names)
     return sorted(n for n, at in ats.items() if at < top or (at == top and n != ckpt_name(top)))
 
 
@@ -71,8 +76,7 @@
         raise faults.FormatFault(f'data folder has format {level}, this program reads up to {FORMAT}:'
                                  ' start the program that wrote it')
     term = dec('term', files['term']) if 'term' in files else {'term': 0, 'vote': None}
-    names = {n: at_of(n) for n in files if n.startswith(('gen-', 'ckpt-'))}
-    top = max([at for n, at in names.items() if n.startswith('ckpt-')], default=(0, 0))
+    names, top = dated(files)
     # Why nothing older: it is needless, and may be half written over by then.
     docs = {n: dec(n, files[n]) for n, at in names.items() if at > top or n == ckpt_name(top)}
     if top > (0, 0):
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -163,6 +163,11 @@
         if seen:
             k['at'] = k['since'] = self.now
 
+    def answers(self, k):
+        """Whether somebody known has answered lately."""
+        # Why three probes: one lost answer must not change who is there.
+        return k['at'] is not None and k['at'] >= self.now - self.bounds.probe * 3
+
     def alarm_find(self):
         self.alarm('find', self.bounds.probe)
         self.finds += 1
@@ -186,8 +191,7 @@
     def m_probe(self, env):
         m = env['member']
         self.remember(env['a'], env['f'], m['role'], seen=True)
-        limit = self.now - self.bounds.probe * 3
-        cores = [[a, k['id'], k['at'] >= limit] for a, k in self.known.items()
+        cores = [[a, k['id'], self.answers(k)] for a, k in self.known.items()
                  if k['role'] == 'core' and k['at'] is not None]
         self.tell(env['a'], 'probe_re', member=self.member(), term=self.term, master=self.master,
                   partners=sorted(cores), seeds=self.place.seeds, **self.find_extra())
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -237,10 +237,7 @@
         return [s for at, seeds in self.named.values() if at >= limit for s in seeds] + list(self.place.seeds)
 
     def fresh_known(self):
-        # Why three probes: one lost answer must not change the set.
-        limit = self.now - self.bounds.probe * 3
-        return {k['id']: a for a, k in self.known.items()
-                if k['role'] == 'core' and k['id'] and k['at'] is not None and k['at'] >= limit}
+        return {k['id']: a for a, k in self.known.items() if k['role'] == 'core' and k['id'] and self.answers(k)}
 
     def boot_view(self):
         """Every control node that we or anyone who answers us has heard of lately."""
@@ -253,10 +250,8 @@
 
     def seeds_heard(self):
         """(how many of all namings of seeds answer, how many there are, the silent ones)"""
-        limit = self.now - self.bounds.probe * 3
         named = self.all_named()
-        silent = [s for s in named if s != self.place.addr and not (
-            s in self.known and self.known[s]['at'] is not None and self.known[s]['at'] >= limit)]
+        silent = [s for s in named if s != self.place.addr and not (s in self.known and self.answers(self.known[s]))]
         return len(named) - len(silent), len(named), sorted(set(silent))
 
     def seeds_ok(self):
--- a/zinctrail/ctl/api.py
+++ b/zinctrail/ctl/api.py
@@ -57,8 +57,6 @@
         """(whether ready, why not)"""
         if self.stopping:
             return False, 'leaving'
-        if getattr(self, 'given_up', ''):
-            return False, 'its cluster was given up'
         if not self.master:
             return False, 'no master'
         return True, ''
--- a/zinctrail/ctl/claims.py
+++ b/zinctrail/ctl/claims.py
@@ -5,7 +5,6 @@
 
 import zinctrail.ctl.coord as coord
 import zinctrail.faults as faults
-import zinctrail.seam as seam
 
 
 def claim(core, txn, args):
@@ -40,4 +39,4 @@
 
 def epoch_of(rid):
     made, dot, rest = rid.partition('.')
-    return int(made) if dot and rest and seam.is_whole(made) and len(made) < 12 else None
+    return coord.epoch_in(made) if dot and rest else None
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -40,6 +40,11 @@
     return val
 
 
+def epoch_in(val):
+    """The epoch that an id begins with, read; None if it is none."""
+    return int(val) if seam.is_whole(val) and len(val) < 12 else None
+
+
 def run(core, txn, name, args):
     """Run one operation, once for its id."""
     fn, acts = OPS[name]
@@ -57,8 +62,8 @@
         return done['result']
     epoch = txn.get('meta', 'epoch') or 0
     # Why the id tells its epoch: once results are forgotten, a late copy must be known as late.
-    made = call.split('.', 1)[0]
-    if not seam.is_whole(made) or len(made) > 11 or not epoch - core.bounds.epochs_kept < int(made) <= epoch:
+    made = epoch_in(call.split('.', 1)[0])
+    if made is None or not epoch - core.bounds.epochs_kept < made <= epoch:
         raise faults.CallFault(400, f'id must begin with an epoch in use (now {epoch}) and a dot', epoch=epoch)
     res = fn(core, txn, args)
     txn.put('done', call, {'op': name, 'of': of, 'result': res, 'epoch': epoch})
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -61,6 +61,11 @@
         self.fetches = {}
         self.fetch_no = 0
 
+    def ready(self):
+        if self.given_up:
+            return False, 'its cluster was given up'
+        return super().ready()
+
     # -- mastership -------------------------------------------------------
 
     def mastered(self):
--- a/zinctrail/data/passes.py
+++ b/zinctrail/data/passes.py
@@ -182,13 +182,17 @@
     return GO
 
 
+def no_credit():
+    return Drop(503, 'no endpoint can take this now', retry_ms=500)
+
+
 @a_pass
 def credit(prox, rec):
     inc = prox.pick(rec)
     if inc is None:
         # Why bounded: what can't be done in time had better be told so now.
-        if not prox.may_queue(rec) or prox.hopeless(rec, len(prox.pool(rec.pool).queue), prox.room(rec.pool)):
-            raise Drop(503, 'no endpoint can take this now', retry_ms=500)
+        if not prox.may_wait(rec, len(prox.pool(rec.pool).queue), prox.room(rec.pool)):
+            raise no_credit()
         prox.queue(rec)
         return WAIT
     rec.inc, rec.cell = inc, prox.routes.end(inc)['cell']
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -32,7 +32,7 @@
     return passes.Drop(504, f'{e}; could not be made sure of', passes.UNKNOWN)
 
 
-def OUTSIDE():
+def outside_before():
     return passes.Drop(409, 'claimed or run before, outside these home regions', passes.UNKNOWN)
 
 
@@ -233,7 +233,7 @@
             return
         if self.outside(rec, members[res['by']]['cell']):
             # Why not asked: what it holds was carried outside these home regions, and must not be carried in.
-            self.drop(rec, OUTSIDE())
+            self.drop(rec, outside_before())
             return
         key = self.count()
         rec.parked = 'holder'
@@ -271,7 +271,7 @@
 
     def replay(self, rec, kept):
         if self.outside(rec, kept.cell):
-            self.drop(rec, OUTSIDE())
+            self.drop(rec, outside_before())
             return
         status, headers, body = kept.outcome
         # Why its own attempt number: the caller matches the reply to what it sent.
@@ -334,10 +334,11 @@
         """All that a pool's usable endpoints bear."""
         return sum(self.routes.cap(i, name) for i in self.routes.pool(name) if self.routes.usable(i))
 
-    def hopeless(self, rec, ahead, room):
-        """Whether waiting for credit behind so many can't end in time, even if all of the pool were ours."""
+    def may_wait(self, rec, ahead, room):
+        """Whether waiting for credit behind so many can end in time, were all of the pool ours."""
         took = self.pool(rec.pool).took_ms
-        return room and took and seam.ms(took * (ahead + 1) / room) + seam.ms(took / 2) > rec.until - self.now
+        hopeless = room and took and seam.ms(took * (ahead + 1) / room) + seam.ms(took / 2) > rec.until - self.now
+        return self.may_queue(rec) and not hopeless
 
     def may_queue(self, rec):
         p = self.pool(rec.pool)
@@ -362,11 +363,11 @@
             # Why looked at first: most of the time there is nothing, and choosing costs more than seeing that.
             if any(p.use[i] < n for i, n in p.grants.items()) and self.pick(rec) is not None:
                 self.run(rec)
-            elif self.may_queue(rec) and not self.hopeless(rec, ahead, room):
+            elif self.may_wait(rec, ahead, room):
                 p.queue.append(rec)
                 ahead += 1
             else:
-                self.drop(rec, passes.Drop(503, 'no endpoint can take this now', retry_ms=500))
+                self.drop(rec, passes.no_credit())
 
     def want(self, name, least):
         """Tell the pool's keeper our demand, not more often than `least`."""
@@ -382,20 +383,20 @@
             p.fence, p.took = duty['fence'], 0
             p.sent.clear()
         need = collections.Counter()
-        idle = not p.queue and not any(p.use.values()) and not any(p.met.values())
+        idle = not p.queue and not p.use and not any(p.met.values())
         for home, n in p.met.items():
             need[home] += n
         for rec in p.queue:
             need[','.join(sorted(rec.home))] += 1
         # Why one to spare: the first request should find credit waiting.
-        need[''] += 1 + sum(1 for n in p.use.values() if n)
+        need[''] += 1 + len(p.use)
         p.met = collections.Counter({h: n // 2 for h, n in p.met.items() if n > 1})
         no = self.count()
         p.sent[no] = self.now
         while len(p.sent) > 50:
             p.sent.popitem(last=False)
         self.tell(duty['addr'], 'want', pool=name, fence=duty['fence'], no=no, took=p.took,
-                  use={i: n for i, n in p.use.items() if n}, need=dict(need), idle=idle,
+                  use=dict(p.use), need=dict(need), idle=idle,
                   pressure={i: self.pressure[i] for i in self.routes.pool(name) if i in self.pressure})
 
     def alarm_wants(self):
@@ -431,7 +432,7 @@
         p.sent.clear()
         held = p.grants if p.until > self.now else {}
         self.tell(env['a'], 'held', pool=env['pool'], fence=env['fence'], held=held,
-                  use={i: n for i, n in p.use.items() if n})
+                  use=dict(p.use))
 
     # -- sending ----------------------------------------------------------
 
