--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -85,7 +85,7 @@
     return isinstance(val, (list, tuple)) and len(val) == 3 and whole(val[0]) and table(text)(val[1]) and text(val[2])
 
 
-member = fields(role=text, addr=is_addr, http=text, cell=text, level=whole)
+member = fields(role=text, addr=is_addr, http=text, cell=text, level=whole, front_=text)
 master = fields(id=text, addr=is_addr, http=text)
 view = {'view_': many(text), 'seeds_ok_': flag}
 use = table(count)
@@ -96,7 +96,7 @@
                      seeds=many(text)),
     'join': {'member': member, 'accepted': pair, 'term': count},
     'chk': {'to': text, 'term': count, 'round': count},
-    'chk_re': {'term': count, 'round': count, 'no_': flag, 'accepted_': pair, 'committed_': pair},
+    'chk_re': {'term': count, 'round': count, 'no_': flag, 'accepted_': pair, 'committed_': pair, 'beats_': many(text)},
     'grant': {'term': count, 'ack': count},
     'pub': {'term': count, 'at': pair, 'base_': maybe(pair), 'via_': many(pair), 'rows_': many(row),
             'full_': table(table(any_))},
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -23,6 +23,10 @@
     http: str
     cell: str
     seeds: list
+    # Where open traffic (matched by host and path) comes in; empty where none does.
+    front: str = ''
+    # Whether this control node also does a directory's duty.
+    directory: bool = False
 
 
 def tup(pair):
@@ -66,8 +70,11 @@
         self.send(addr, body)
 
     def member(self):
-        return {'role': self.role, 'addr': self.place.addr, 'http': self.place.http,
-                'cell': self.place.cell, 'level': self.level}
+        row = {'role': self.role, 'addr': self.place.addr, 'http': self.place.http,
+               'cell': self.place.cell, 'level': self.level}
+        if self.place.front:
+            row['front'] = self.place.front
+        return row
 
     # -- inputs -----------------------------------------------------------
 
@@ -249,7 +256,11 @@
         while len(self.acks) > 32:
             self.acks.popitem(last=False)
         self.tell(env['a'], 'chk_re', term=self.term, round=env['round'],
-                  accepted=self.rep.accepted, committed=self.rep.committed)
+                  accepted=self.rep.accepted, committed=self.rep.committed, **self.check_extra())
+
+    def check_extra(self):
+        """What else the role tells its master with every check."""
+        return {}
 
     def m_grant(self, env):
         at = self.acks.get(env['ack'])
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -131,6 +131,8 @@
         self.faulty = {}
         self.vc_gone = {}
         self.counts = collections.Counter()
+        # Keys of the asks of others that are being done.
+        self.asked = set()
 
     # -- disk -------------------------------------------------------------
 
@@ -988,7 +990,15 @@
         if self.mode != 'leader' or self.stopping:
             self.tell(addr, 'ask_re', key=key, result=NO_MASTER)
             return
-        self.serve(env['op'], env['args'], lambda res: self.tell(addr, 'ask_re', key=key, result=res))
+        if key in self.asked:
+            # Why left alone: it is put again while it is being done, and a watch is being done for long.
+            return
+        self.asked.add(key)
+
+        def done(res):
+            self.asked.discard(key)
+            self.tell(addr, 'ask_re', key=key, result=res)
+        self.serve(env['op'], env['args'], done)
 
     def serve(self, op, args, cb):
         """For the role: the operations a master does for the others."""
--- a/zinctrail/bounds.py
+++ b/zinctrail/bounds.py
@@ -13,6 +13,8 @@
     check: datetime.timedelta = ms(400)
     misses: int = 3
     probe: datetime.timedelta = ms(400)
+    # How long a node may be out of touch before nothing it does may rest on what it knew.
+    touch: datetime.timedelta = ms(3000)
     lease: datetime.timedelta = ms(2400)
     answer: datetime.timedelta = ms(2000)
     publish: datetime.timedelta = ms(1200)
@@ -47,9 +49,10 @@
             v = getattr(self, f.name)
             if (v.total_seconds() if isinstance(v, datetime.timedelta) else v) <= 0:
                 out.append((f.name, 'must be above zero'))
-        # Why: the brief's 3 s from learning to stopping, less the time of a commit.
-        if self.lease > ms(2600):
-            out.append(('lease', 'longer than 2600 ms: a stale view would outlive its bound of 3 s'))
+        # Why less: a commit takes its time too. By default the brief's 3 s from learning to stopping.
+        if self.lease > self.touch - ms(400):
+            out.append(('lease', f'longer than {seam.to_ms(self.touch - ms(400))} ms: a stale view would outlive'
+                                 f' its bound of {seam.to_ms(self.touch) / 1000:g} s'))
         if self.answer > ms(5000):
             out.append(('answer', 'longer than 5000 ms: requesters would outlive an evacuation'))
         # Why: an isolated master must give up before the leases it granted run out.
--- a/zinctrail/ctl/api.py
+++ b/zinctrail/ctl/api.py
@@ -49,6 +49,9 @@
     def pages(self):
         return {}
 
+    def take_beat(self, body, answer):
+        self.ask('beat', body, answer)
+
     def on_hung_up(self, rid):
         """The caller went away; what it asked for may still happen."""
         self.calls.pop(rid, None)
@@ -158,14 +161,36 @@
     m.ask('config.check', body, answer)
 
 
+@page('PATCH', '/v1/items')
+def items_patch(m, call, body, answer):
+    m.ask('items.apply', {'change': body}, answer, seam.ms(10000))
+
+
+@page('GET', '/v1/items')
+def items_get(m, call, body, answer):
+    m.ask('items.get', {}, answer)
+
+
+@page('POST', '/v1/cell/empty')
+def cell_empty(m, call, body, answer):
+    only(body, 'cell', 'on')
+    m.ask('cell.empty', body, answer)
+
+
 @page('POST', '/v1/beat')
 def beat(m, call, body, answer):
-    m.ask('beat', body, answer)
+    m.take_beat(body, answer)
+
+
+@page('POST', '/v1/leave')
+def leave(m, call, body, answer):
+    only(body, 'inc')
+    m.ask('leave', body, answer)
 
 
 def _coord(name):
     def fn(m, call, body, answer):
-        wait = seam.ms(25000) if name == 'key.watch' else None
+        wait = seam.ms(25000) if name.endswith('.watch') else None
         m.ask(name, body, answer, wait)
     return fn
 
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -188,6 +188,131 @@
             'head': head(txn)}
 
 
+# -- for callers who bring no ids: a holder's name, a unique value say what a repeat is -------
+
+# Why so many: a put is sent again for some seconds only, and a key is not written more often than that.
+PAST_KEPT = 24
+
+
+@op('lock.hold')
+def lock_hold(core, txn, args):
+    """Take, or go on holding; each 200 names a fence above all earlier ones."""
+    name, holder = text(args, 'name'), text(args, 'holder')
+    recovery.locks_open(txn)
+    lease = whole(args, 'lease_ms', 1, 3600000)
+    row = txn.get('locks', name)
+    held = row is not None and core.lock_until.get(name, txn.now) > txn.now
+    if held and row['holder'] != holder:
+        left = seam.to_ms(core.lock_until[name] - txn.now)
+        raise faults.CallFault(409, 'held by another', holder=row['holder'], retry_ms=max(50, min(left, 1000)))
+    fence = next_rev(txn)
+    # Why a new fence for the same holder too: a freeing of before, held up on its way, must not free this.
+    # Why the first one is kept: whoever lost the reply to a later taking may still renew by an earlier one.
+    txn.put('locks', name, {'holder': holder, 'fence': fence, 'lease_ms': lease, 'take': str(fence),
+                            'first': row.get('first', row['fence']) if held else fence})
+    core.lock_until[name] = txn.now + core.lock_term({'lease_ms': lease})
+    return {'status': 200, 'fence': fence}
+
+
+@op('lock.renew')
+def lock_renew(core, txn, args):
+    name, holder = text(args, 'name'), text(args, 'holder')
+    fence, lease = whole(args, 'fence', 0, 1 << 53), whole(args, 'lease_ms', 1, 3600000)
+    recovery.locks_open(txn)
+    row = txn.get('locks', name)
+    if not row or row['holder'] != holder or not row.get('first', row['fence']) <= fence <= row['fence'] \
+            or core.lock_until.get(name, txn.now) <= txn.now:
+        raise faults.CallFault(409, 'not held under this fence')
+    # Why a write only for a longer lease: who holds it is the same, and a new master counts it in full anyway.
+    if lease > row['lease_ms']:
+        txn.put('locks', name, dict(row, lease_ms=lease))
+    core.lock_until[name] = max(core.lock_until[name], txn.now + core.lock_term({'lease_ms': lease}))
+    return {'status': 200, 'fence': fence}
+
+
+@op('lock.yield')
+def lock_yield(core, txn, args):
+    name, holder, fence = text(args, 'name'), text(args, 'holder'), whole(args, 'fence', 0, 1 << 53)
+    row = txn.get('locks', name)
+    # Why only under the last fence: the holder may have taken it again since this was sent.
+    if row and row['holder'] == holder and row['fence'] == fence:
+        txn.drop('locks', name)
+        core.lock_until.pop(name, None)
+        return {'status': 200, 'freed': True}
+    return {'status': 200, 'freed': False}
+
+
+@op('number.step')
+def number_step(core, txn, args):
+    """The next number; a repeat leaves a gap, which is nobody's concern."""
+    name = text(args, 'name')
+    n = (txn.get('numbers', name) or txn.get('numbers', '/base') or 0) + 1
+    txn.put('numbers', name, n)
+    return {'status': 200, 'number': n}
+
+
+def group_of(cell):
+    """The group a cell lies in: its name up to and with the first dot, else the whole name."""
+    head_, dot, _ = cell.partition('.')
+    return head_ + dot
+
+
+def group_rev(txn, group):
+    return txn.get('groups', group) or txn.get('numbers', '/base') or 0
+
+
+@op('cell.put')
+def cell_put(core, txn, args):
+    """Put a unique value; the same value again gets the revision that it got the first time."""
+    name, val = text(args, 'name'), args.get('value')
+    if not isinstance(val, str) or len(val) > 8192:
+        raise faults.CallFault(400, 'value must be a text up to 8192')
+    if args.get('rev') is not None:
+        whole(args, 'rev', 0, 1 << 53)
+    row = txn.get('values', name)
+    for old, rev in [*row['past'], (row['value'], row['rev'])] if row else ():
+        if old == val:
+            return {'status': 200, 'rev': rev}
+    here = row['rev'] if row else 0
+    if args.get('rev') is not None and args['rev'] != here:
+        raise faults.CallFault(409, f'at revision {here}', rev=here)
+    group = group_of(name)
+    rev = group_rev(txn, group) + 1
+    txn.put('groups', group, rev)
+    past = [*row['past'], [row['value'], row['rev']]][-PAST_KEPT:] if row else []
+    txn.put('values', name, {'value': val, 'rev': rev, 'past': past})
+    txn.put('changes', f'{group}/{rev:016d}', {'name': name, 'value': val, 'rev': rev,
+                                               'epoch': txn.get('meta', 'epoch') or 0})
+    return {'status': 200, 'rev': rev}
+
+
+@op('cell.get')
+def cell_get(core, txn, args):
+    row = txn.get('values', text(args, 'name'))
+    if row is None:
+        raise faults.CallFault(404, 'no such cell', rev=0)
+    return {'status': 200, 'value': row['value'], 'rev': row['rev']}
+
+
+@op('cell.watch')
+def cell_watch(core, txn, args):
+    """Every put of a group after `since`, up to its present revision; since 0 asks for that revision alone."""
+    group, since = text(args, 'group'), whole(args, 'since', 0, 1 << 53, 0)
+    here = group_rev(txn, group)
+    if since == 0 or since >= here:
+        return {'status': 200, 'events': [], 'rev': here}
+    # Why told: a watcher that is skipped ahead would miss a change without knowing.
+    if since < (txn.get('floors', group) or 0):
+        raise faults.CallFault(410, 'further back than the history kept', rev=here)
+    out = []
+    for rev in range(since + 1, here + 1):
+        row = txn.get('changes', f'{group}/{rev:016d}')
+        if row is None:
+            raise faults.CallFault(410, 'further back than the history kept', rev=here)
+        out.append({'name': row['name'], 'value': row['value'], 'rev': rev})
+    return {'status': 200, 'events': out, 'rev': here}
+
+
 def forget(txn, epoch, kept):
     """At a new epoch: drop what is past its retention."""
     for table in ('done', 'events', 'claims'):
@@ -196,6 +321,11 @@
                 txn.drop(table, key)
                 if table == 'events':
                     txn.put('numbers', '/floor', max(txn.get('numbers', '/floor') or 0, row['rev']))
+    for key, row in txn.items('changes').items():
+        if row['epoch'] <= epoch - kept:
+            txn.drop('changes', key)
+            group = key.rpartition('/')[0]
+            txn.put('floors', group, max(txn.get('floors', group) or 0, row['rev']))
     for inc, at in txn.items('goners').items():
         if at <= epoch - GONERS_KEPT:
             txn.drop('goners', inc)
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -11,7 +11,10 @@
 import zinctrail.ctl.claims as claims
 import zinctrail.ctl.config as config
 import zinctrail.ctl.coord as coord
+import zinctrail.ctl.items as items
 import zinctrail.ctl.recovery as recovery
+import zinctrail.ctl.routes as routes
+import zinctrail.dir.standing as standing
 import zinctrail.faults as faults
 import zinctrail.seam as seam
 
@@ -21,7 +24,7 @@
 def check_beat(b):
     """A beat as an endpoint sends it; faults name the field."""
     r = config.Reader()
-    known = ('inc', 'addr', 'service', 'cell', 'labels', 'slots', 'state', 'cold', 'pressure')
+    known = ('inc', 'addr', 'service', 'cell', 'labels', 'slots', 'state', 'cold', 'pressure', 'seq', 'cold_ms')
     if r.fields('$', b, known, ('inc', 'addr', 'service', 'cell', 'slots', 'state')):
         for k in ('inc', 'service', 'cell'):
             if k in b:
@@ -36,6 +39,9 @@
             v = b.get(k, 0)
             if isinstance(v, bool) or not isinstance(v, (int, float)) or not 0 <= v <= (1 if k == 'cold' else 1000):
                 r.fault(f'$.{k}', 'must be a number from 0 to 1')
+        for k in ('seq', 'cold_ms'):
+            if k in b:
+                r.number(f'$.{k}', b[k], 0, 1 << 53)
     if r.faults:
         raise faults.CallFault(400, 'invalid beat', faults=[{'path': p, 'fault': t} for p, t in r.faults])
 
@@ -46,7 +52,19 @@
         raise faults.CallFault(410, 'this incarnation was declared gone: mint a new one')
 
 
-class Core(api.Api, voter.Voter):
+def row_of(b):
+    """What the state keeps of a beat."""
+    # Why in eighths, rounded up: warming up must not cost a generation a beat, nor seem further than it is.
+    row = {'addr': b['addr'], 'service': b['service'], 'cell': b['cell'], 'labels': b.get('labels', {}),
+           'slots': b['slots'], 'state': b['state'], 'cold': math.ceil(b.get('cold', 0) * 8)}
+    if 'seq' in b:
+        # Why not the milliseconds: they fall with every beat, and only whether it is cold matters to who sends.
+        row['plain'] = True
+        row['chill'] = b.get('cold_ms', 0) > 0
+    return row
+
+
+class Core(api.Api, standing.Standing, voter.Voter):
 
     def __init__(self, place, bounds, rng, files=None):
         super().__init__(place, bounds, rng, files)
@@ -60,6 +78,35 @@
         self.epoch_at = None
         self.fetches = {}
         self.fetch_no = 0
+        self.routes = routes.Routes(self.rep)
+        # Incarnations that beat here since our last check with the master.
+        self.heard = set()
+        # The latest beat's number of each incarnation that numbers them.
+        self.seqs = {}
+
+    def pages(self):
+        return standing.PAGES if self.place.directory else {}
+
+    def leased(self):
+        if self.mode == 'leader':
+            # Why as long as for the others: that is how long they go on acting on what we gave them.
+            return self.rep.committed[0] == self.term and self.now < self.quorum_at + self.bounds.lease
+        return super().leased()
+
+    def lease_left(self):
+        if self.mode == 'leader':
+            return self.quorum_at + self.bounds.lease - self.now if self.leased() else seam.ZERO
+        return super().lease_left()
+
+    def check_extra(self):
+        heard, self.heard = self.heard, set()
+        return {'beats': sorted(heard)} if heard else {}
+
+    def m_chk_re(self, env):
+        if self.mode == 'leader' and env['term'] == self.term:
+            for inc in env.get('beats', ()):
+                self.beats[inc] = self.now
+        super().m_chk_re(env)
 
     def ready(self):
         if self.given_up:
@@ -126,23 +173,47 @@
 
     # -- endpoints --------------------------------------------------------
 
-    def serve_beat(self, args, cb):
+    def take_beat(self, args, cb):
+        """A beat that came to us: one that changes nothing goes to the master with our next check."""
         check_beat(args)
         inc = args['inc']
-        not_gone(self.rep, inc)
+        if self.mode == 'follower' and self.leased() and args['state'] != 'leaving' \
+                and self.rep.get('endpoints', inc) == row_of(args):
+            self.heard.add(inc)
+            cb({'status': 200, 'epoch': self.rep.get('meta', 'epoch') or 0})
+        else:
+            self.ask('beat', args, cb)
+
+    def serve_beat(self, args, cb):
+        check_beat(args)
+        inc, seq = args['inc'], args.get('seq')
+        if seq is None:
+            not_gone(self.rep, inc)
+        row = row_of(args)
+        if seq is not None and seq < self.seqs.get(inc, 0):
+            # Why acknowledged: what it says was overtaken by what the endpoint said since.
+            cb({'status': 200})
+            return
+        if seq is not None:
+            self.seqs[inc] = seq
         self.beats[inc] = self.now
-        # Why in eighths, rounded up: warming up must not cost a generation a beat, nor seem further than it is.
-        row = {'addr': args['addr'], 'service': args['service'], 'cell': args['cell'],
-               'labels': args.get('labels', {}), 'slots': args['slots'], 'state': args['state'],
-               'cold': math.ceil(args.get('cold', 0) * 8)}
         if self.rep.get('endpoints', inc) == row and not self.flight:
             cb({'status': 200, 'epoch': self.rep.get('meta', 'epoch') or 0})
             return
 
         def put(txn):
-            not_gone(txn, inc)
+            if seq is None:
+                not_gone(txn, inc)
+            elif txn.get('goners', f'{inc}/left') is not None:
+                # Why for good: it said itself that it goes; this was sent before.
+                return {'status': 200}
+            elif txn.get('goners', inc) is not None and row['state'] != 'leaving':
+                # Why let back: it numbers its beats and mints no new name, so it was only silent.
+                txn.drop('goners', inc)
             if row['state'] == 'leaving':
                 self.gone(txn, inc)
+                if seq is not None:
+                    txn.put('goners', f'{inc}/left', txn.get('meta', 'epoch') or 0)
                 return {'status': 200}
             for other, old in txn.items('endpoints').items():
                 # Why: an address has one incarnation; the newcomer proves that the old one is dead.
@@ -152,6 +223,16 @@
             return {'status': 200, 'epoch': txn.get('meta', 'epoch') or 0}
         self.submit(put, cb)
 
+    def serve_leave(self, args, cb):
+        """An endpoint signs off, for good."""
+        inc = coord.text(args, 'inc')
+
+        def put(txn):
+            self.gone(txn, inc)
+            txn.put('goners', f'{inc}/left', txn.get('meta', 'epoch') or 0)
+            return {'status': 200}
+        self.submit(put, cb)
+
     def gone(self, txn, inc):
         self.beats.pop(inc, None)
         txn.drop('endpoints', inc)
@@ -191,6 +272,12 @@
     def run_probe(self, inc, addr, cb):
         self.fetch_no += 1
         self.fetches[self.fetch_no] = (inc, cb)
+        row = self.rep.get('endpoints', inc) or {}
+        if row.get('plain'):
+            path = (self.routes.item(f'pools/{row["service"]}') or {}).get('health') or '/health'
+            self.out.append(seam.Fetch(self.fetch_no, addr, inc, 'GET', path, {'host': addr}, b'',
+                                       self.bounds.prober, plain=True))
+            return
         self.out.append(seam.Fetch(self.fetch_no, addr, inc, 'GET', '/zt/live', {'zt-inc': inc}, b'',
                                    self.bounds.prober))
 
@@ -279,9 +366,10 @@
         self.place_duties(txn)
 
     def applied(self, rows):
+        self.routes.stale()
         if self.mode == 'leader' and any(r[0] in ('members', 'conf') for r in rows or ()):
             self.submit(lambda txn: self.place_duties(txn) or {'status': 200}, lambda res: None)
-        if self.mode == 'leader' and any(r[0] == 'events' for r in rows or ()):
+        if self.mode == 'leader' and any(r[0] in ('events', 'changes') for r in rows or ()):
             self.alarm('events', seam.ms(1))
 
     # -- operations for the others ----------------------------------------
@@ -291,8 +379,8 @@
             if op in SERVES:
                 SERVES[op](self, args, cb)
             elif op in coord.OPS:
-                if op == 'key.watch':
-                    self.serve_watch(args, cb)
+                if op in WATCHES:
+                    self.serve_watch(op, args, cb)
                 else:
                     self.submit(lambda txn: coord.run(self, txn, op, args), cb)
             else:
@@ -363,22 +451,52 @@
                         'oldest_claim_epochs': (s['epoch'] or 0) - min(old) if old else 0}
         self.fence(lambda ok: cb({'status': 200, 'state': s} if ok else voter.NO_MASTER))
 
-    def serve_watch(self, args, cb):
-        wait = coord.whole(args, 'wait_ms', 0, 20000, 0)
-        w = {'args': args, 'cb': cb, 'until': self.now + seam.ms(wait)}
+    def serve_items(self, args, cb):
+        self.submit(lambda txn: items.apply(txn, args.get('change')), cb)
+
+    def serve_items_get(self, args, cb):
+        self.submit(lambda txn: {'status': 200, 'items': items.read(txn), 'generation': txn.gen}, cb)
+
+    def serve_empty(self, args, cb):
+        """Send nothing more to a cell's endpoints, or take that back; its proxies go on."""
+        cell, on = coord.text(args, 'cell', 300), args.get('on')
+        if not isinstance(on, bool):
+            raise faults.CallFault(400, 'on must be true or false')
+
+        def put(txn):
+            row = dict(txn.get('cells', cell) or {})
+            if bool(row.get('emptied')) == on:
+                return {'status': 200}
+            if on:
+                row['emptied'] = True
+            else:
+                del row['emptied']
+                for inc, end in txn.items('endpoints').items():
+                    if end['cell'] == cell and end.get('plain') and not end['chill']:
+                        # Why: they may have got cold while nobody sent them anything; their next beat tells.
+                        txn.put('endpoints', inc, dict(end, chill=True))
+            txn.put('cells', cell, row)
+            return {'status': 200}
+        self.submit(put, cb)
+
+    def serve_watch(self, op, args, cb):
+        wait = coord.whole(args, 'wait_ms', 0, 60000, 0)
+        w = {'op': op, 'args': args, 'cb': cb, 'until': self.now + seam.ms(wait)}
         if len(self.watches) >= self.bounds.queue_most:
             raise faults.CallFault(503, 'too many watches', retry_ms=1000)
         self.look(w)
 
     def look(self, w):
         def seen(res):
-            if res['status'] == 200 and not res['events'] and self.now < w['until'] and self.mode == 'leader':
-                # Why from the head: nothing up to there was for this watch.
-                w['args'] = dict(w['args'], since=max(w['args'].get('since', 0), res['head']))
+            if res['status'] == 200 and not res['events'] and self.now < w['until'] and self.mode == 'leader' \
+                    and (w['op'] == 'key.watch' or w['args'].get('since')):
+                if w['op'] == 'key.watch':
+                    # Why from the head: nothing up to there was for this watch.
+                    w['args'] = dict(w['args'], since=max(w['args'].get('since', 0), res['head']))
                 self.watches.append(w)
             else:
                 w['cb'](res)
-        self.submit(lambda txn: coord.run(self, txn, 'key.watch', w['args']), seen)
+        self.submit(lambda txn: coord.run(self, txn, w['op'], w['args']), seen)
 
     def alarm_events(self):
         watches, self.watches = self.watches, []
@@ -390,8 +508,14 @@
             self.alarm_events()
 
 
+WATCHES = ('key.watch', 'cell.watch')
+
 SERVES = {
     'beat': Core.serve_beat,
+    'leave': Core.serve_leave,
+    'items.apply': Core.serve_items,
+    'items.get': Core.serve_items_get,
+    'cell.empty': Core.serve_empty,
     'config.apply': Core.serve_apply,
     'config.get': Core.serve_config,
     'config.check': Core.serve_check,
--- /dev/null
+++ b/zinctrail/ctl/items.py
@@ -0,0 +1,163 @@
+"""The operator's configuration in parts: items, each with its own name and version.
+
+  {"set":  {"rules": [RULE, ...], "pools": [POOL, ...], "limits": LIMITS},
+   "drop": {"rules": [{"name": N, "version": V}, ...], "pools": [...]}}
+
+  RULE    name, version, host, prefix, once, timeout_ms, aim_ms, rank, attempts, home,
+          and pool, or shares [{"pool": P, "weight": W}, ...]
+  POOL    name, version, health, connections, cold_s, cold_per_s
+  LIMITS  version, header_bytes, body_bytes, header_ms, idle_ms
+
+For each name the highest version holds, whether it sets or drops; a lower or
+an equal one changes nothing. What was dropped is kept as a mark, so that an
+older copy can't bring it back. Fields that nobody here knows are kept as they
+came and read back with the rest.
+"""
+
+import zinctrail.ctl.config as config
+import zinctrail.faults as faults
+
+LISTS = ('rules', 'pools')
+# The one item without a name.
+LIMITS = 'limits'
+# Why a bound: an aim this far beyond the time-out is a slip of the operator's.
+AIM_OVER_MS = 60000
+VERSION_MOST = 1 << 53
+MS_MOST = 86400000
+
+
+def check(doc, pools=None):
+    """All faults of a change, as (path, text). `pools`: the names that stand besides; None: any will do."""
+    r = config.Reader()
+    if not r.fields('$', doc, ('set', 'drop')):
+        return r.faults
+    sets, drops = doc.get('set', {}), doc.get('drop', {})
+    known = set(pools or ())
+    if r.fields('$.set', sets, LISTS + (LIMITS,)):
+        rows = sets.get('pools', [])
+        known |= {p['name'] for p in rows if isinstance(p, dict) and isinstance(p.get('name'), str)} \
+            if isinstance(rows, list) else set()
+        for part in LISTS:
+            for path, row in listed(r, f'$.set.{part}', sets.get(part, [])):
+                named(r, path, row)
+                CHECKS[part](r, path, row, known if pools is not None else None)
+        if LIMITS in sets and r.fields('$.set.limits', sets[LIMITS], sets[LIMITS] or (), ('version',)):
+            r.number('$.set.limits.version', sets[LIMITS].get('version'), 0, VERSION_MOST)
+            for k in ('header_bytes', 'body_bytes', 'header_ms', 'idle_ms'):
+                if k in sets[LIMITS]:
+                    r.number(f'$.set.limits.{k}', sets[LIMITS][k], 1, VERSION_MOST)
+    if r.fields('$.drop', drops, LISTS):
+        for part in LISTS:
+            for path, row in listed(r, f'$.drop.{part}', drops.get(part, [])):
+                named(r, path, row)
+    return r.faults
+
+
+def listed(r, path, rows):
+    if not isinstance(rows, list):
+        r.fault(path, 'must be a list')
+        return
+    for n, row in enumerate(rows):
+        if isinstance(row, dict):
+            yield f'{path}[{n}]', row
+        else:
+            r.fault(f'{path}[{n}]', 'must be an object')
+
+
+def named(r, path, row):
+    r.name(f'{path}.name', row.get('name'))
+    r.number(f'{path}.version', row.get('version'), 0, VERSION_MOST)
+
+
+def _rule(r, path, row, pools):
+    if not isinstance(row.get('host'), str) or not row['host']:
+        r.fault(f'{path}.host', 'must be a text that is not empty')
+    prefix = row.get('prefix')
+    if not isinstance(prefix, str) or not prefix.startswith('/') or not prefix.endswith('/'):
+        r.fault(f'{path}.prefix', 'must begin and end with a slash')
+    r.flag(f'{path}.once', row.get('once'))
+    r.number(f'{path}.timeout_ms', row.get('timeout_ms'), 1, MS_MOST)
+    if 'aim_ms' in row:
+        r.number(f'{path}.aim_ms', row['aim_ms'], 1, MS_MOST)
+        if not r.faults and row['aim_ms'] >= row['timeout_ms'] + AIM_OVER_MS:
+            r.fault(f'{path}.aim_ms', f'is a minute or more above timeout_ms, {row["timeout_ms"]}')
+    if 'attempts' in row:
+        r.number(f'{path}.attempts', row['attempts'], 1, 100)
+    if 'rank' in row:
+        r.number(f'{path}.rank', row['rank'], 0, 1000000)
+    home = row.get('home', [])
+    if not isinstance(home, list) or not all(isinstance(h, str) and h for h in home):
+        r.fault(f'{path}.home', 'must be a list of regions')
+    if ('pool' in row) == ('shares' in row):
+        r.fault(path, 'must have either pool or shares')
+    elif 'pool' in row:
+        _known(r, f'{path}.pool', row['pool'], pools)
+    else:
+        weight = 0
+        for at, share in listed(r, f'{path}.shares', row['shares']):
+            _known(r, f'{at}.pool', share.get('pool'), pools)
+            w = share.get('weight')
+            if isinstance(w, bool) or not isinstance(w, (int, float)) or not 0 <= w <= 1e9:
+                r.fault(f'{at}.weight', 'must be a number, 0 or more')
+            else:
+                weight += w
+        if not weight:
+            r.fault(f'{path}.shares', 'must have a weight above zero')
+
+
+def _known(r, path, pool, pools):
+    if not isinstance(pool, str) or not pool or (pools is not None and pool not in pools):
+        r.fault(path, f'names no pool: {pool!r:.60}')
+
+
+def _pool(r, path, row, pools):
+    if 'health' in row and (not isinstance(row['health'], str) or not row['health'].startswith('/')):
+        r.fault(f'{path}.health', 'must be a path')
+    if 'connections' in row:
+        r.number(f'{path}.connections', row['connections'], 1, 1000000)
+    for k in ('cold_s', 'cold_per_s'):
+        v = row.get(k, 0)
+        if isinstance(v, bool) or not isinstance(v, (int, float)) or not 0 <= v <= 1e6:
+            r.fault(f'{path}.{k}', 'must be a number, 0 or more')
+
+
+CHECKS = {'rules': _rule, 'pools': _pool}
+
+
+def flat(doc):
+    """[(key, version, row or None)] of a change that was checked."""
+    sets, drops = doc.get('set', {}), doc.get('drop', {})
+    out = [(f'{part}/{row["name"]}', row['version'], row) for part in LISTS for row in sets.get(part, ())]
+    out += [(f'{part}/{row["name"]}', row['version'], None) for part in LISTS for row in drops.get(part, ())]
+    if LIMITS in sets:
+        out.append((LIMITS, sets[LIMITS]['version'], sets[LIMITS]))
+    return out
+
+
+def apply(txn, doc):
+    """Within a transaction: all of the change or nothing of it."""
+    here = txn.items('items')
+    pools = {k[6:] for k, item in here.items() if k.startswith('pools/') and item['row'] is not None}
+    bad = check(doc, pools)
+    if bad:
+        raise faults.CallFault(400, 'invalid change', faults=[{'path': p, 'fault': t} for p, t in bad[:100]])
+    took = 0
+    for key, version, row in flat(doc):
+        old = txn.get('items', key)
+        if old is None or version > old['v']:
+            txn.put('items', key, {'v': version, 'row': row})
+            took += 1
+    return {'status': 200, 'took': took, 'generation': txn.gen}
+
+
+def read(txn):
+    """All items that stand, laid out as the `set` of a change."""
+    out = {part: [] for part in LISTS}
+    for key, item in sorted(txn.items('items').items()):
+        if item['row'] is None:
+            continue
+        if key == LIMITS:
+            out[LIMITS] = item['row']
+        else:
+            out[key.split('/', 1)[0]].append(item['row'])
+    return out
--- a/zinctrail/ctl/routes.py
+++ b/zinctrail/ctl/routes.py
@@ -29,6 +29,17 @@
                 self.pools[key[6:]] = incs
                 for i in incs:
                     self.shares.setdefault(i, []).append(key[6:])
+        # Of the items: each pool's endpoints, and each host's rules with the longest prefix first.
+        self.open_pools = {}
+        for inc, row in self.ends.items():
+            self.open_pools.setdefault(row['service'], []).append(inc)
+        self.hosts = {}
+        for key, item in self.rep.get('items').items():
+            if key.startswith('rules/') and item['row'] is not None:
+                row = item['row']
+                self.hosts.setdefault(row['host'].lower(), []).append((row['prefix'], item['v'], row))
+        for rules in self.hosts.values():
+            rules.sort(key=lambda r: (len(r[0]), r[1]), reverse=True)
         self.rules = sorted(((row.get('order', 1000), key[6:], row) for key, row in conf.items()
                              if key.startswith('rules/')), key=lambda r: r[:2])
 
@@ -44,6 +55,9 @@
     def evacuated(self, cell):
         return bool((self.rep.get('cells').get(cell) or {}).get('evacuated'))
 
+    def emptied(self, cell):
+        return bool((self.rep.get('cells').get(cell) or {}).get('emptied'))
+
     def pool(self, name):
         self._work_out()
         return self.pools.get(name, ())
@@ -63,13 +77,30 @@
                 return name, row
         return None, None
 
+    def open_rule(self, host, path):
+        """The item rule of this host whose prefix begins the path and is the longest."""
+        self._work_out()
+        for prefix, _, row in self.hosts.get(host.lower(), ()):
+            if path.startswith(prefix):
+                return row
+        return None
+
+    def open_pool(self, name):
+        self._work_out()
+        return self.open_pools.get(name, ())
+
+    def item(self, key):
+        item = self.rep.get('items', key)
+        return item['row'] if item else None
+
     def end(self, inc):
         return self.rep.get('endpoints').get(inc)
 
     def usable(self, inc):
         """Whether newcomers may go there now."""
         row = self.end(inc)
-        return row is not None and row['state'] == 'ready' and not self.evacuated(row['cell'])
+        return row is not None and row['state'] == 'ready' and not self.evacuated(row['cell']) \
+            and not self.emptied(row['cell'])
 
     def cap(self, inc, pool):
         """The work an endpoint bears now that is this pool's to give out."""
--- /dev/null
+++ b/zinctrail/data/open.py
@@ -0,0 +1,329 @@
+"""Open traffic: requests that are matched by host and path, for endpoints that link no library of ours.
+
+Such an endpoint gives back the id of the request and a stamp, says by a
+header what it surely did not run, and refuses what names another incarnation.
+What it was sent and did not refuse may have run. Each id is one attempt of
+its caller and reaches one proxy, so an attempt that may run at most once is
+never sent on after it may have run (docs/notes/platform.md).
+"""
+
+import collections
+
+import zinctrail.data.passes as passes
+import zinctrail.seam as seam
+
+PASSES = []
+
+# Why: headers of one connection only, and those that we set ourselves.
+HOP = ('connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'trailers', 'transfer-encoding', 'upgrade',
+       'content-length', 'expect', 'zt-left-ms', 'zt-inc')
+# How much worse an endpoint is for standing in another cell, or another region, as shares of a full load.
+FAR_CELL = 0.12
+FAR_REGION = 0.6
+# What an endpoint may be given beyond its slots, as a share of them: it queues a few.
+OVER = 1.5
+# Why: what an endpoint said of its load says little after a while.
+LOAD_OLD = seam.ms(1500)
+REST = seam.ms(1000)
+
+
+class End:
+    """An endpoint as this proxy sees it."""
+
+    def __init__(self):
+        self.use = 0
+        self.seen = 0
+        self.seen_at = None
+        self.seen_use = 0
+        self.rest_until = seam.ZERO
+        self.fails = 0
+        self.next_at = seam.ZERO
+
+    def load(self, now):
+        """The work there: ours now, and the others' as it last said, fading."""
+        if self.seen_at is None or now - self.seen_at >= LOAD_OLD:
+            return self.use
+        return self.use + max(0, self.seen - self.seen_use) * (1 - (now - self.seen_at) / LOAD_OLD)
+
+
+def a_pass(fn):
+    PASSES.append(fn)
+    return fn
+
+
+@a_pass
+def accept(prox, rec):
+    h = rec.call.headers
+    rec.id = h.get('zt-id', '')
+    if not rec.id or len(rec.id) > 200:
+        raise passes.Drop(400, 'the id is missing, or longer than 200')
+    left = h.get('zt-left-ms')
+    if left is not None:
+        if not seam.is_whole(left) or len(left) > 9:
+            raise passes.Drop(400, 'the time left must be a whole number of milliseconds')
+        rec.until = rec.came + seam.ms(int(left))
+    if prox.stopping and prox.now >= prox.stop_by:
+        raise passes.Drop(503, 'leaving', retry_ms=50)
+    if len(prox.table) > prox.bounds.queue_most:
+        raise passes.Drop(503, 'busy', retry_ms=300)
+    if not prox.leased():
+        raise passes.Drop(503, 'no lease on the state', retry_ms=200)
+    return passes.GO
+
+
+@a_pass
+def match(prox, rec):
+    path = rec.call.path.split('?', 1)[0]
+    rule = prox.routes.open_rule(rec.call.headers.get('host', '').rsplit(':', 1)[0], path)
+    if rule is None:
+        raise passes.Drop(404, 'no traffic rule matches')
+    rec.rule, rec.path, rec.once = rule, rec.call.path, rule['once']
+    rec.home = tuple(rule.get('home', ()))
+    rec.pool = rule['pool'] if 'pool' in rule else prox.share(rule['shares'])
+    limit = rec.came + seam.ms(rule['timeout_ms'])
+    rec.until = min(rec.until, limit) if rec.until else limit
+    if prox.now >= rec.until:
+        raise passes.Drop(504, 'no time left')
+    # Why a fifth: whoever can't be served had better be told while another proxy still can.
+    rec.aim = rec.came + seam.ms(rule.get('aim_ms', rule['timeout_ms']))
+    rec.patience = min(rec.until, rec.came + (rec.aim - rec.came) / 5)
+    prox.alarm_at('late', rec.until)
+    return passes.GO
+
+
+@a_pass
+def choose(prox, rec):
+    if rec.sends:
+        # Why before the choice: what may not be sent again need not wait for room.
+        prox.may_repeat(rec)
+    inc = prox.pick_open(rec)
+    if inc is None:
+        if prox.now >= rec.patience or rec.sends or not prox.could_serve(rec):
+            raise passes.Drop(503, 'no endpoint can take this now', retry_ms=150)
+        prox.queue_open(rec)
+        return passes.WAIT
+    rec.inc = inc
+    return passes.GO
+
+
+@a_pass
+def send(prox, rec):
+    if prox.now >= rec.until:
+        raise passes.Drop(504, 'no time left')
+    if rec.sends:
+        prox.may_repeat(rec).repeat(prox.now)
+        prox.counts['repeats'] += 1
+    else:
+        prox.window(rec.pool).first(prox.now)
+    prox.dispatch_open(rec)
+    return passes.WAIT
+
+
+def fault_of(rec, res):
+    """Why a reply is not whole or not of this request; '' if it is."""
+    if res.fault:
+        return res.fault
+    if res.headers.get('zt-id') != rec.id:
+        return 'reply to another request'
+    if 200 <= res.status < 300 and 'zt-stamp' not in res.headers:
+        return 'success without a stamp'
+    if 'content-encoding' in res.headers:
+        return 'reply in an encoding that nobody asked for'
+    return ''
+
+
+@a_pass
+def check(prox, rec):
+    res = rec.res
+    if not res.sent:
+        prox.rest(rec.inc)
+        if not rec.repeats:
+            prox.window(rec.pool).not_sent()
+        rec.sends -= 1
+        return prox.again_open(rec, passes.Drop(503, 'the endpoint could not be reached', retry_ms=100))
+    fault = fault_of(rec, res)
+    if not res.fault and (res.status == 421 or 'zt-not-run' in res.headers):
+        if res.status == 421:
+            prox.rest(rec.inc)
+        return prox.again_open(rec, passes.Drop(503, 'the endpoint did not run it', retry_ms=150))
+    if fault:
+        prox.counts['garbled'] += 1
+        rec.maybe = True
+        lost = passes.Drop(502, f'outcome unknown: {fault}', passes.UNKNOWN)
+        if rec.once:
+            raise lost
+        return prox.again_open(rec, lost)
+    if res.status >= 500 and not rec.once and prox.more(rec):
+        return prox.again_open(rec, None)
+    return passes.GO
+
+
+@a_pass
+def settle(prox, rec):
+    prox.counts[passes.RAN] += 1
+    del prox.table[rec.rid]
+    headers = {k: v for k, v in rec.res.headers.items() if k not in HOP}
+    prox.out.append(seam.Outcome(rec.rid, rec.res.status, headers, rec.res.body))
+    return passes.WAIT
+
+
+class Open:
+    """Mixed into the proxy."""
+
+    def open_init(self):
+        self.ends = {}
+        self.open_fetches = {}
+        self.waiting = collections.deque()
+
+    def on_front(self, rid, call):
+        self.begin(passes.Record(rid, call, self.now, passes=PASSES))
+
+    def share(self, shares):
+        total = sum(s['weight'] for s in shares)
+        at = self.rng.random() * total
+        for s in shares:
+            at -= s['weight']
+            if at < 0:
+                return s['pool']
+        return shares[-1]['pool']
+
+    def end_of(self, inc):
+        end = self.ends.get(inc)
+        if end is None:
+            end = self.ends[inc] = End()
+        return end
+
+    def pace(self, row):
+        """The least time between two of our requests to a cold endpoint: all proxies together keep to what it bears."""
+        bears = (self.routes.item(f'pools/{row["service"]}') or {}).get('cold_per_s') or 1
+        return seam.ms(1000) * max(1, len(self.routes.members('prox'))) / bears
+
+    def pick_open(self, rec):
+        """The endpoint that costs least: near, and with room."""
+        best, least = None, None
+        here, region = self.place.cell, self.routes.region(self.place.cell)
+        for inc in self.routes.open_pool(rec.pool):
+            row = self.routes.end(inc)
+            if inc in rec.tried or not self.routes.usable(inc):
+                continue
+            there = self.routes.region(row['cell'])
+            if rec.home and there not in rec.home:
+                continue
+            end = self.end_of(inc)
+            if end.rest_until > self.now or (row.get('chill') and end.next_at > self.now):
+                continue
+            load = end.load(self.now) / row['slots']
+            if load >= OVER:
+                continue
+            cost = load + (FAR_REGION if there != region else FAR_CELL if row['cell'] != here else 0)
+            cost += self.rng.random() * 0.05
+            if least is None or cost < least:
+                best, least = inc, cost
+        return best
+
+    def could_serve(self, rec):
+        """Whether the pool has endpoints at all that may get it."""
+        return any(self.routes.usable(i) and (not rec.home or self.routes.region(self.routes.end(i)['cell']) in rec.home)
+                   for i in self.routes.open_pool(rec.pool))
+
+    def queue_open(self, rec):
+        rec.parked = 'room'
+        self.waiting.append(rec)
+        self.alarm_at('room', min(rec.patience, self.now + seam.ms(20)))
+
+    def alarm_room(self):
+        waiting, self.waiting = self.waiting, collections.deque()
+        for rec in waiting:
+            if rec.rid in self.table and rec.parked == 'room':
+                # Why from the choice on: it looks again, and gives up once the patience is over.
+                self.resume(rec, choose)
+
+    def dispatch_open(self, rec):
+        row = self.routes.end(rec.inc)
+        end = self.end_of(rec.inc)
+        end.use += 1
+        end.next_at = self.now + self.pace(row) if row.get('chill') else seam.ZERO
+        rec.sends += 1
+        rec.fid = self.count()
+        self.open_fetches[rec.fid] = (rec, rec.inc)
+        left = rec.until - self.now
+        headers = {k: v for k, v in rec.call.headers.items() if k not in HOP}
+        headers['zt-inc'] = rec.inc
+        headers['zt-left-ms'] = str(max(1, seam.to_ms(left)))
+        self.counts['sends'] += 1
+        self.out.append(seam.Fetch(rec.fid, row['addr'], rec.inc, rec.call.method, rec.path, headers, rec.call.body,
+                                   left + seam.ms(20), plain=True, once=rec.once))
+
+    def open_fetched(self, fid, res):
+        rec, inc = self.open_fetches.pop(fid)
+        end = self.ends.get(inc)
+        if end is not None:
+            end.use -= 1
+            self.note_load(end, res)
+        if rec.rid in self.table and rec.fid == fid:
+            rec.res = res
+            self.resume(rec)
+        if self.waiting:
+            self.alarm_room()
+
+    def note_load(self, end, res):
+        parts = res.headers.get('zt-load', '').split(',')
+        if len(parts) == 3 and all(seam.is_whole(p.strip()) for p in parts):
+            # Why one less: the request that this answers is over now.
+            end.seen, end.seen_use, end.seen_at = max(0, int(parts[0]) - 1) + int(parts[1]), end.use, self.now
+        if not res.fault:
+            end.fails = 0
+
+    def rest(self, inc):
+        """Leave an endpoint alone for a while, longer each time."""
+        end = self.end_of(inc)
+        end.fails += 1
+        end.rest_until = self.now + REST * min(4, end.fails)
+        if self.master:
+            self.tell(self.master['addr'], 'suspect', inc=inc)
+
+    def more(self, rec):
+        return rec.sends < rec.rule.get('attempts', 1) and self.now < rec.until
+
+    def again_open(self, rec, e):
+        """Another try of ours where rule, time and the shared bound allow one; else the drop, or what we have."""
+        rec.tried.add(rec.inc)
+        rec.repeats = rec.sends > 0
+        if self.more(rec):
+            try:
+                if rec.sends:
+                    self.may_repeat(rec)
+                if self.pick_open(rec) is not None or (not rec.sends and self.could_serve(rec)):
+                    self.resume(rec, choose)
+                    return passes.WAIT
+            except passes.Drop:
+                # Why let go: what we have to say of this try is truer than that there were too many.
+                pass
+        if e is None:
+            return passes.GO
+        raise e
+
+    def open_late(self, rec):
+        if rec.parked == 'room' and not rec.maybe:
+            self.drop(rec, passes.Drop(504, 'no time left'))
+        elif rec.fid in self.open_fetches:
+            self.drop(rec, passes.Drop(504, 'no reply in time', passes.UNKNOWN))
+        else:
+            self.drop(rec, passes.Drop(504, 'no time left', passes.UNKNOWN))
+
+    def say_open(self, rec, e):
+        status, outcome = e.status, e.outcome
+        if outcome == passes.UNKNOWN and status == 503:
+            # Why: that status promises that nothing ran.
+            status = 502
+        headers = {'content-type': 'text/plain', 'zt-outcome': outcome}
+        if outcome == passes.NOT_RUN and 'retry_ms' in e.more:
+            headers['retry-after'] = f'{e.more["retry_ms"] / 1000:g}'
+        self.counts[outcome] += 1
+        del self.table[rec.rid]
+        self.out.append(seam.Outcome(rec.rid, status, headers, f'{e}\n'.encode()))
+
+    def open_applied(self):
+        here = self.rep.get('endpoints')
+        for inc in [i for i, end in self.ends.items() if i not in here and not end.use]:
+            del self.ends[inc]
--- a/zinctrail/data/passes.py
+++ b/zinctrail/data/passes.py
@@ -58,6 +58,10 @@
     repeats: bool = False
     maybe: bool = False
     given_up: typing.Any = None
+    passes: list = None
+    # Of open traffic: when an outcome is worth most, and until when it may wait for room.
+    aim: typing.Any = None
+    patience: typing.Any = None
 
 
 def a_pass(fn):
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -10,6 +10,7 @@
 import zinctrail.ctl.policy as policy
 import zinctrail.ctl.recovery as recovery
 import zinctrail.ctl.routes as routes
+import zinctrail.data.open as open_
 import zinctrail.data.passes as passes
 import zinctrail.data.repeats as repeats
 import zinctrail.req.seal as seal
@@ -66,7 +67,7 @@
         self.took_ms = 0.0
 
 
-class Prox(partner.Partner):
+class Prox(open_.Open, partner.Partner):
     role = 'prox'
     prefix = 'prox'
 
@@ -90,6 +91,7 @@
         # Ids of traffic that needs no claims, by when they first came: {id: (record, when)}.
         self.met = collections.OrderedDict()
         self.policies = {}
+        self.open_init()
 
     def count(self):
         self.no += 1
@@ -101,16 +103,18 @@
         if call.path in PAGES:
             self.out.append(api.outcome(rid, PAGES[call.path](self)))
             return
-        rec = passes.Record(rid, call, self.now)
-        self.table[rid] = rec
+        self.begin(passes.Record(rid, call, self.now, passes=passes.PASSES))
+
+    def begin(self, rec):
+        self.table[rec.rid] = rec
         self.counts['requests'] += 1
         self.run(rec)
 
     def run(self, rec):
         rec.parked = ''
-        while rec.at < len(passes.PASSES):
+        while rec.at < len(rec.passes):
             try:
-                if not passes.PASSES[rec.at](self, rec):
+                if not rec.passes[rec.at](self, rec):
                     return
             except passes.Drop as e:
                 self.drop(rec, e)
@@ -119,7 +123,7 @@
 
     def resume(self, rec, at=None):
         """On from the next pass, or from a named one."""
-        rec.at = passes.PASSES.index(at) if at else rec.at + 1
+        rec.at = rec.passes.index(at) if at else rec.at + 1
         self.run(rec)
 
     def drop(self, rec, e):
@@ -145,6 +149,9 @@
             self.forget(rec.id)
 
     def say(self, rec, e):
+        if rec.passes is open_.PASSES:
+            self.say_open(rec, e)
+            return
         outcome = e.outcome
         # Why not "not run" for a repeat that nobody has looked up: an earlier attempt may have run.
         if outcome == passes.NOT_RUN and rec.attempt > 1 and not rec.claimed:
@@ -456,6 +463,9 @@
                                    headers, rec.call.body, left + self.bounds.linger))
 
     def on_fetched(self, fid, res):
+        if fid in self.open_fetches:
+            self.open_fetched(fid, res)
+            return
         rec, pool, inc, began = self.fetches.pop(fid)
         p = self.pool(pool)
         if res.fault and res.sent and self.routes.end(inc):
@@ -538,7 +548,9 @@
 
     def alarm_late(self):
         for rec in [r for r in self.table.values() if r.until and r.until <= self.now]:
-            if rec.parked in ('credit', 'kept'):
+            if rec.passes is open_.PASSES:
+                self.open_late(rec)
+            elif rec.parked in ('credit', 'kept'):
                 # Why unknown for those that wait on another's run: that one may have run.
                 out = passes.NOT_RUN if rec.parked == 'credit' else passes.UNKNOWN
                 self.drop(rec, passes.Drop(504, 'no time left', out))
@@ -593,6 +605,7 @@
 
     def applied(self, rows):
         self.routes.stale()
+        self.open_applied()
         self.sharers.see(self.now, len(self.routes.members('prox')))
         incs = set(self.rep.get('endpoints'))
         for inc in sorted(self.incs - incs):
--- a/zinctrail/dir/daemon.py
+++ b/zinctrail/dir/daemon.py
@@ -4,11 +4,11 @@
 import zinctrail.ctl.api as api
 import zinctrail.ctl.routes as routes
 import zinctrail.dir.keeper as keeper
-import zinctrail.faults as faults
+import zinctrail.dir.standing as standing
 import zinctrail.seam as seam
 
 
-class Dir(api.Api, partner.Partner):
+class Dir(api.Api, standing.Standing, partner.Partner):
     role = 'dir'
     prefix = 'dir'
 
@@ -20,7 +20,7 @@
         self.handed = {}
 
     def pages(self):
-        return {('POST', '/v1/answer'): Dir.page_answer}
+        return standing.PAGES
 
     def ready(self):
         ok, why = super().ready()
@@ -28,43 +28,6 @@
             return False, 'no lease'
         return ok, why
 
-    # -- standing answers -------------------------------------------------
-
-    def page_answer(self, call, body, answer):
-        api.only(body, 'home', 'cell', 'most')
-        home, cell, most = body.get('home', []), body.get('cell', self.place.cell), body.get('most', 3)
-        if not isinstance(home, list) or not all(isinstance(r, str) for r in home):
-            raise faults.CallFault(400, 'home must be a list of regions')
-        if not isinstance(cell, str):
-            raise faults.CallFault(400, 'cell must be a text')
-        if isinstance(most, bool) or not isinstance(most, int) or not 1 <= most <= 20:
-            raise faults.CallFault(400, 'most must be a whole number from 1 to 20')
-        if not self.leased():
-            # Why no stale answer: a requester would go on acting on what we no longer know.
-            raise faults.CallFault(503, 'no lease on the state', elsewhere=self.others('dir'), retry_ms=300)
-        answer(self.standing(home, cell, most))
-
-    def others(self, role):
-        return sorted(m['http'] for n, m in self.rep.get('members').items() if m['role'] == role and n != self.node)
-
-    def standing(self, home, cell, most):
-        region = self.routes.region(cell)
-
-        def far(m):
-            return 0 if m['cell'] == cell else 1 if self.routes.region(m['cell']) == region else 2
-        good = [m for m in self.routes.members('prox').values()
-                if not m.get('leaving') and not self.routes.evacuated(m['cell'])
-                and (not home or self.routes.region(m['cell']) in home)]
-        if not good:
-            raise faults.CallFault(503, 'no proxy may carry this now', retry_ms=1000)
-        # Why shuffled within a distance: requesters of a cell must not all lean on one proxy.
-        self.rng.shuffle(good)
-        good.sort(key=far)
-        ttl = min(self.bounds.answer, self.lease_left())
-        return {'status': 200, 'proxies': [m['http'] for m in good[:most]], 'ttl_ms': max(1, seam.to_ms(ttl)),
-                'epoch': self.rep.get('meta', 'epoch') or 0, 'generation': self.rep.committed[1],
-                'dirs': self.others('dir')[:3]}
-
     # -- the keeper's duty ------------------------------------------------
 
     def applied(self, rows):
--- /dev/null
+++ b/zinctrail/dir/standing.py
@@ -0,0 +1,77 @@
+"""Standing answers: which proxies a requester may use now, and for how long.
+
+Mixed into whoever does a directory's duty: ztdir, and control nodes that are told to.
+"""
+
+import zinctrail.faults as faults
+import zinctrail.seam as seam
+
+FIELDS = ('home', 'cell', 'most', 'front')
+
+
+def only(body):
+    for k in body:
+        if k not in FIELDS:
+            raise faults.CallFault(400, f'{k:.40} is not a known field')
+
+
+class Standing:
+
+    def page_answer(self, call, body, answer):
+        only(body)
+        home, cell, most = body.get('home', []), body.get('cell', self.place.cell), body.get('most', 3)
+        if not isinstance(home, list) or not all(isinstance(r, str) for r in home):
+            raise faults.CallFault(400, 'home must be a list of regions')
+        if not isinstance(cell, str):
+            raise faults.CallFault(400, 'cell must be a text')
+        if isinstance(most, bool) or not isinstance(most, int) or not 1 <= most <= 64:
+            raise faults.CallFault(400, 'most must be a whole number from 1 to 64')
+        if not self.leased():
+            # Why no stale answer: a requester would go on acting on what we no longer know.
+            raise faults.CallFault(503, 'no lease on the state', elsewhere=self.others('dir'), retry_ms=300)
+        front = body.get('front', False)
+        if not isinstance(front, bool):
+            raise faults.CallFault(400, 'front must be true or false')
+        answer(self.standing_open(cell, most) if front else self.standing(home, cell, most))
+
+    def others(self, role):
+        return sorted(m['http'] for n, m in self.rep.get('members').items() if m['role'] == role and n != self.node)
+
+    def standing(self, home, cell, most):
+        region = self.routes.region(cell)
+
+        def far(m):
+            return 0 if m['cell'] == cell else 1 if self.routes.region(m['cell']) == region else 2
+        good = [m for m in self.routes.members('prox').values()
+                if not m.get('leaving') and not self.routes.evacuated(m['cell'])
+                and (not home or self.routes.region(m['cell']) in home)]
+        if not good:
+            raise faults.CallFault(503, 'no proxy may carry this now', retry_ms=1000)
+        # Why shuffled within a distance: requesters of a cell must not all lean on one proxy.
+        self.rng.shuffle(good)
+        good.sort(key=far)
+        ttl = min(self.bounds.answer, self.lease_left())
+        return {'status': 200, 'proxies': [m['http'] for m in good[:most]], 'ttl_ms': max(1, seam.to_ms(ttl)),
+                'epoch': self.rep.get('meta', 'epoch') or 0, 'generation': self.rep.committed[1],
+                'dirs': self.others('dir')[:3]}
+
+    def standing_open(self, cell, most):
+        """The fronts for open traffic: the cell's own, with the region's where those are few."""
+        region = self.routes.region(cell)
+        good = [m for m in self.routes.members('prox').values() if m.get('front') and not m.get('leaving')]
+        tiers = [[m['front'] for m in good if m['cell'] == cell],
+                 [m['front'] for m in good if m['cell'] != cell and self.routes.region(m['cell']) == region],
+                 [m['front'] for m in good if self.routes.region(m['cell']) != region]]
+        fronts = []
+        for tier in tiers:
+            # Why two at least: a requester whose only proxy has just gone would have nowhere else to turn.
+            if len(fronts) < 2:
+                self.rng.shuffle(tier)
+                fronts += tier
+        if not fronts:
+            raise faults.CallFault(503, 'no proxy may carry this now', retry_ms=1000)
+        ttl = min(self.bounds.answer, self.lease_left())
+        return {'status': 200, 'proxies': fronts[:most], 'ttl_ms': max(1, seam.to_ms(ttl))}
+
+
+PAGES = {('POST', '/v1/answer'): Standing.page_answer}
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -5,8 +5,12 @@
 import resource
 
 from absl import logging
+import twisted.internet.task as task
 
 import zinctrail.edge.clock as clock
+import zinctrail.edge.dialect as dialect_
+import zinctrail.edge.front as front
+import zinctrail.edge.relay as relay
 import zinctrail.edge.web as web
 import zinctrail.edge.wire as wire
 import zinctrail.faults as faults
@@ -20,7 +24,10 @@
 
 class Host:
 
-    def __init__(self, machine, reactor, disk=None):
+    def __init__(self, machine, reactor, disk=None, dialect=None, doors=()):
+        self.dialect = dialect or dialect_.Plain()
+        self.doors = [web.Door(self, addr) for addr in doors]
+        self.front = None
         self.machine = machine
         self.reactor = clock.steady(reactor)
         self.disk = disk
@@ -28,6 +35,7 @@
                                 lambda env: self.feed('recv', env), lambda addr: self.feed('lost', addr))
         self.pages = web.Pages(self)
         self.fetcher = web.Fetcher(reactor, verifies=True)
+        self.relay = relay.Relay(reactor)
         self.inputs = collections.deque()
         self.busy = False
         self.call = None
@@ -39,7 +47,7 @@
 
     def figures(self):
         """What only the host knows, for the status pages."""
-        return {**self.stats, 'opened': self.fetcher.by_number.opened, 'asked': self.fetcher.asked, 'frames': self.links.sent_frames,
+        return {**self.stats, 'opened': self.fetcher.by_number.opened, 'asked': self.fetcher.asked, 'relayed_over': self.relay.opened, 'frames': self.links.sent_frames,
                 'bytes': self.links.sent_bytes, 'kinds': dict(self.links.sent_kinds),
                 'rss_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
 
@@ -51,6 +59,14 @@
             # Why the larger of the two: the same pages take requests and configurations.
             most = max(self.machine.bounds.body_most, self.machine.bounds.config_most)
             self.reactor.listenTCP(port, web.site(self.pages, most, self.reactor), interface=host)
+            for door in self.doors:
+                host, port = wire.split(door.addr)
+                self.reactor.listenTCP(port, web.site(door, most, self.reactor), interface=host)
+            if place.front:
+                host, port = wire.split(place.front)
+                self.front = front.Front(self, self.dialect, self.reactor)
+                self.reactor.listenTCP(port, self.front, interface=host)
+                task.LoopingCall.withCount(lambda n: self.relay.sweep()).start(1.0, now=False)
         except Exception as e:
             raise faults.SettingFault(f'can not listen: {e}') from e
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.shutdown)
@@ -120,7 +136,27 @@
             else:
                 RUNS[type(e)](self, e)
 
+    def answer(self, e):
+        if isinstance(e.rid, tuple):
+            self.front.answer(e)
+        else:
+            self.pages.answer(e)
+
+    def close_ends(self, e):
+        self.fetcher.close(e.inc)
+        self.relay.close(e.inc)
+
+    def plain_fetch(self, e):
+        def told(res):
+            res.headers = self.dialect.fetched_in(res.headers)
+            self.feed('fetched', e.fid, res)
+        self.relay.fetch(e.inc, e.addr, e.method, e.path, self.dialect.fetch_out(e.headers), e.body, e.wait,
+                         e.once).addCallback(told)
+
     def fetch(self, e):
+        if e.plain:
+            self.plain_fetch(e)
+            return
         d = self.fetcher.fetch(e.inc, e.addr, e.method, e.path, e.headers, e.body, e.wait)
         d.addCallback(lambda res: self.feed('fetched', e.fid, res))
 
@@ -136,9 +172,9 @@
 
 RUNS = {
     seam.Send: lambda host, e: host.links.send(e.addr, e.msg),
-    seam.Outcome: lambda host, e: host.pages.answer(e),
+    seam.Outcome: Host.answer,
     seam.Fetch: Host.fetch,
-    seam.Close: lambda host, e: host.fetcher.close(e.inc),
+    seam.Close: Host.close_ends,
     seam.Log: lambda host, e: logging.info('%s', e.text),
     seam.Done: lambda host, e: host.inputs.append(('done', (e.name,))),
     seam.Exit: Host.exit,
--- a/zinctrail/edge/main.py
+++ b/zinctrail/edge/main.py
@@ -28,6 +28,8 @@
     absl.flags.DEFINE_string('http', '', 'IP:PORT for HTTP.')
     absl.flags.DEFINE_string('cell', '', 'The cell this process stands in.')
     absl.flags.DEFINE_list('seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.')
+    absl.flags.DEFINE_string('front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.')
+    absl.flags.DEFINE_list('doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.')
     for f in dataclasses.fields(bounds.Bounds):
         if isinstance(f.default, datetime.timedelta):
             absl.flags.DEFINE_integer(f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.')
@@ -51,12 +53,14 @@
     bad = [f'--{n}: must be IP:PORT, not {getattr(FLAGS, n)!r}'
            for n in ('addr', 'http') if not frames.is_addr(getattr(FLAGS, n))]
     bad += [f'--seeds: must be IP:PORT, not {s!r}' for s in FLAGS.seeds if not frames.is_addr(s)]
+    bad += [f'--{n}: must be IP:PORT, not {s!r}' for n, many in (('doors', FLAGS.doors), ('front', [FLAGS.front]))
+            for s in many if s and not frames.is_addr(s)]
     if not FLAGS.cell:
         bad.append('--cell: is missing')
     bad += [f'--{n}: {t}' for n, t in read_bounds().faults()]
     if bad:
         raise faults.SettingFault('\n'.join(bad))
-    return partner.Place(FLAGS.addr, FLAGS.http, FLAGS.cell, list(FLAGS.seeds))
+    return partner.Place(FLAGS.addr, FLAGS.http, FLAGS.cell, list(FLAGS.seeds), FLAGS.front)
 
 
 def parse(doc, argv=None):
@@ -78,10 +82,10 @@
         sys.exit(USAGE)
 
 
-def serve(doc, make):
+def serve(doc, make, dialect=None, argv=None):
     """Run one machine: make(place, bounds, rng) -> (machine, disk)."""
     place_flags()
-    rest = parse(doc)
+    rest = parse(doc, argv)
     absl.logging.use_absl_handler()
     if FLAGS['verbosity'].using_default_value:
         absl.logging.set_verbosity(absl.logging.INFO)
@@ -91,7 +95,7 @@
             raise faults.SettingFault(f'unknown words: {" ".join(rest)}')
         place, bound = read_place(), read_bounds()
         machine, disk = make(place, bound, random.SystemRandom())
-        h = host.Host(machine, twisted.internet.reactor, disk)
+        h = host.Host(machine, twisted.internet.reactor, disk, dialect, FLAGS.doors)
         h.start()
     except faults.Fault as e:
         for line in str(e).splitlines():
--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -58,27 +58,59 @@
             request.setHeader('content-type', 'application/json')
             request.setHeader('zt-outcome', 'not-run')
             return b'{"outcome": "not-run", "fault": "body is above the bound"}'
+        self.hand(request, call_of(request))
+        return server.NOT_DONE_YET
+
+    def hand(self, request, call, then=None):
+        """Feed a call to the machine; its outcome goes to the request, through `then` where one is given."""
         self.no += 1
         rid = self.no
-        self.open[rid] = request
+        self.open[rid] = (request, then)
         request.notifyFinish().addErrback(self.hung_up, rid)
-        headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
-                   for k, v in request.requestHeaders.getAllRawHeaders()}
-        call = seam.Call(request.method.decode('latin-1'), request.uri.decode('latin-1'), headers,
-                         request.content.read())
         self.host.feed('http', rid, call)
-        return server.NOT_DONE_YET
 
     def hung_up(self, reason, rid):
         if self.open.pop(rid, None) is not None:
             self.host.feed('hung_up', rid)
 
     def answer(self, out):
-        request = self.open.pop(out.rid, None)
+        request, then = self.open.pop(out.rid, (None, None))
         if request is None:
             return
+        if then is not None:
+            out = then(out)
         write(request, out.status, out.headers, out.body)
 
+
+class Door(resource.Resource):
+    """A listener where others call us in the host's dialect."""
+
+    isLeaf = True
+
+    def __init__(self, host, addr):
+        super().__init__()
+        self.host = host
+        self.addr = addr
+
+    def render(self, request):
+        dialect = self.host.dialect
+        if request.got > request.most:
+            write(request, 413, {}, b'')
+            return server.NOT_DONE_YET
+        got = dialect.door_in(call_of(request))
+        if isinstance(got, seam.Outcome):
+            write(request, got.status, got.headers, got.body)
+        else:
+            call, token = got
+            self.host.pages.hand(request, call, lambda out: dialect.door_out(token, out))
+        return server.NOT_DONE_YET
+
+
+def call_of(request):
+    headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
+               for k, v in request.requestHeaders.getAllRawHeaders()}
+    return seam.Call(request.method.decode('latin-1'), request.uri.decode('latin-1'), headers, request.content.read())
+
 def write(request, status, headers, body):
     request.setResponseCode(status)
     for k, v in headers.items():
--- a/zinctrail/edge/wire.py
+++ b/zinctrail/edge/wire.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import socket
 
 import twisted.internet.protocol as protocol
 import twisted.protocols.basic as basic
@@ -11,6 +12,20 @@
 WAITING_MOST = 1000
 
 
+# Why: a partner behind a cut gives no answer, and TCP by itself would wait for minutes.
+SILENT_MS = 1200
+
+
+def watch_peer(transport, silent_ms):
+    """Have TCP give up on a peer that acknowledges nothing for so long."""
+    sock = transport.getHandle()
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silent_ms)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
 class Frames(basic.NetstringReceiver):
     """Both ends; only the listening side is sent frames."""
 
@@ -21,6 +36,7 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        watch_peer(self.transport, SILENT_MS)
         self.links.open.add(self)
 
     def stringReceived(self, data):
@@ -71,6 +87,7 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        watch_peer(self.transport, SILENT_MS)
         q = self.factory.waiting
         while q:
             self.sendString(q.popleft())
--- a/zinctrail/prog/ztcore.py
+++ b/zinctrail/prog/ztcore.py
@@ -15,6 +15,7 @@
 def make(place, bounds, rng):
     if not main.FLAGS.data:
         raise faults.SettingFault('--data: is missing')
+    place.directory = main.FLAGS.directory
     disk = disk_.Disk(main.FLAGS.data)
     try:
         return core.Core(place, bounds, rng, disk.load()), disk
@@ -25,9 +26,10 @@
         return core.Core(place, bounds, rng, {}), disk
 
 
-def run():
+def run(dialect=None, argv=None):
     absl.flags.DEFINE_string('data', '', 'The data folder.')
-    main.serve(__doc__, make)
+    absl.flags.DEFINE_bool('directory', False, 'Give standing answers too.')
+    main.serve(__doc__, make, dialect, argv)
 
 
 if __name__ == '__main__':
--- a/zinctrail/prog/ztprox.py
+++ b/zinctrail/prog/ztprox.py
@@ -7,8 +7,8 @@
 import zinctrail.edge.main as main
 
 
-def run():
-    main.serve(__doc__, lambda place, bounds, rng: (proxy.Prox(place, bounds, rng), None))
+def run(dialect=None, argv=None):
+    main.serve(__doc__, lambda place, bounds, rng: (proxy.Prox(place, bounds, rng), None), dialect, argv)
 
 
 if __name__ == '__main__':
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -63,6 +63,10 @@
     headers: dict
     body: bytes
     wait: datetime.timedelta
+    # Whether the endpoint links no library of ours: nobody asks it who it is, `inc` goes with the request.
+    plain: bool = False
+    # Whether it may run at most once: then only a connection that was in use a moment ago will do.
+    once: bool = False
 
 
 @dataclasses.dataclass(slots=True)
