Late copies, hung-up callers and new masters undo no promise of the control plane

Change: Ask counts its puts and turns refusals into unknown; the master keeps outcomes by key for 10 s; keys name a life; locks never shorten; rows keep the number of the beat they were written by; two beats until warm.

--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -15,6 +15,10 @@
 import zinctrail.bounds as bounds_
 import zinctrail.seam as seam
 
+# Statuses that promise that nothing was done and nothing will be.
+REFUSALS = (421, 429, 503)
+LOST = {'status': 504, 'unknown': True, 'fault': 'the master changed before the outcome was known'}
+
 
 @dataclasses.dataclass
 class Place:
@@ -29,6 +33,26 @@
     directory: bool = False
 
 
+class Ask:
+    """What waits for a master's outcome."""
+
+    def __init__(self, op, args, cb, until):
+        self.op = op
+        self.args = args
+        self.cb = cb
+        self.until = until
+        # When it was last put to a master, and how often it was.
+        self.at = seam.ZERO
+        self.puts = 0
+
+    def told(self, res, mine):
+        """`mine`: how many of the puts this outcome speaks for."""
+        if res['status'] in REFUSALS and self.puts > mine:
+            # Why no promise: another copy of it may have been done, or be done yet.
+            res = dict(LOST)
+        self.cb(res)
+
+
 def tup(pair):
     return tuple(pair) if pair else (0, 0)
 
@@ -58,6 +82,7 @@
         self.finds = 0
         self.asks = {}
         self.ask_no = 0
+        self.life = ''
 
     def figures(self):
         """The host's own counts, where it keeps any."""
@@ -333,16 +358,24 @@
     def ask(self, op, args, cb, wait=None):
         """Have the master do `op`; cb(result) with a status, once, whatever happens."""
         self.ask_no += 1
-        key = f'{self.node}.{self.ask_no}'
-        self.asks[key] = [op, args, cb, self.now + (wait or self.bounds.call), seam.ZERO]
+        # Why a life in it: a node keeps its id over restarts, and what its last life asked must not be taken for this.
+        self.life = self.life or f'{self.rng.getrandbits(48):x}'
+        key = f'{self.life}.{self.ask_no}'
+        self.asks[key] = Ask(op, args, cb, self.now + (wait or self.bounds.call))
         self._put_ask(key)
         self.alarm_asks()
 
     def _put_ask(self, key):
-        op, args, _, _, _ = self.asks[key]
+        a = self.asks[key]
         if self.master:
-            self.asks[key][4] = self.now
-            self.tell(self.master['addr'], 'ask', key=key, op=op, args=args)
+            a.at = self.now
+            a.puts += 1
+            self.tell(self.master['addr'], 'ask', key=key, op=a.op, args=a.args)
+
+    def drop_ask(self, cb):
+        """Nobody waits for this outcome any more: it is put to no further master."""
+        for key in [k for k, a in self.asks.items() if a.cb is cb]:
+            del self.asks[key]
 
     def retry_asks(self):
         # Why safe to put again: every op that acts carries an id the master knows it by.
@@ -350,15 +383,15 @@
             self._put_ask(key)
 
     def alarm_asks(self):
-        for key in [k for k, a in self.asks.items() if a[3] <= self.now]:
-            _, _, cb, _, put_at = self.asks.pop(key)
+        for key in [k for k, a in self.asks.items() if a.until <= self.now]:
+            a = self.asks.pop(key)
             # Why told apart: what was never put to any master has surely not been done.
-            cb({'status': 504, 'unknown': put_at > seam.ZERO, 'fault': 'no outcome from the master in time'})
+            a.cb({'status': 504, 'unknown': a.puts > 0, 'fault': 'no outcome from the master in time'})
         for key, a in self.asks.items():
-            if self.now - a[4] > seam.ms(500):
+            if self.now - a.at > seam.ms(500):
                 self._put_ask(key)
         if self.asks:
-            self.alarm('asks', min(seam.ms(100), min(a[3] for a in self.asks.values()) - self.now))
+            self.alarm('asks', min(seam.ms(100), min(a.until for a in self.asks.values()) - self.now))
 
     def m_ask_re(self, env):
         a = self.asks.get(env['key'])
@@ -368,7 +401,7 @@
             # Why wait: it is no master (any more); the next one is asked when we follow it.
             return
         del self.asks[env['key']]
-        a[2](env['result'])
+        a.told(env['result'], 1)
 
     # -- shared by the status pages ---------------------------------------
 
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -18,7 +18,12 @@
 # Why: a process's list of seeds is short; what it may make us probe is bounded.
 SEEDS_MOST = 16
 NO_MASTER = {'status': 421, 'fault': 'not the master'}
-LOST = {'status': 504, 'unknown': True, 'fault': 'the master changed before the outcome was known'}
+LOST = partner.LOST
+# Why apart: what found nothing to change may have been done by a copy of it before.
+UNSURE = {'status': 421, 'unknown': True, 'fault': 'not the master any more'}
+# How many outcomes a master remembers of what it was asked, and for how long.
+TOLD_MOST = 4096
+TOLD = seam.ms(10000)
 
 
 class Txn:
@@ -133,6 +138,8 @@
         self.counts = collections.Counter()
         # Keys of the asks of others that are being done.
         self.asked = set()
+        # Their outcomes, for copies that come after: {key: (when, result)}.
+        self.told = collections.OrderedDict()
 
     # -- disk -------------------------------------------------------------
 
@@ -514,8 +521,8 @@
     def mastered(self):
         """The first generation of our term is in force: what waited for a master is served."""
         asks, self.asks = self.asks, {}
-        for op, args, cb, _, _ in asks.values():
-            self.serve(op, args, cb)
+        for a in asks.values():
+            self.serve(a.op, a.args, lambda res, a=a: a.told(res, 0))
 
     def unmastered(self):
         """For the role."""
@@ -575,7 +582,7 @@
             # Why fenced: an outcome that changes nothing is a read, and we may be deposed.
             def said(ok):
                 for cb, res in results:
-                    cb(res if ok else NO_MASTER)
+                    cb(res if ok else UNSURE)
             self.fence(said)
             return
         routes = replica.routes_of(rows)
@@ -993,13 +1000,26 @@
         if key in self.asked:
             # Why left alone: it is put again while it is being done, and a watch is being done for long.
             return
+        if key in self.told:
+            self.tell(addr, 'ask_re', key=key, result=self.told[key][1])
+            return
         self.asked.add(key)
 
         def done(res):
             self.asked.discard(key)
+            # Why kept: a copy still on its way must not act a second time.
+            if self.acts(env['op']) and res['status'] not in partner.REFUSALS:
+                self.told[key] = (self.now, res)
+                while self.told and (len(self.told) > TOLD_MOST
+                                     or next(iter(self.told.values()))[0] < self.now - TOLD):
+                    self.told.popitem(last=False)
             self.tell(addr, 'ask_re', key=key, result=res)
         self.serve(env['op'], env['args'], done)
 
+    def acts(self, op):
+        """For the role: whether doing it twice differs from doing it once."""
+        return True
+
     def serve(self, op, args, cb):
         """For the role: the operations a master does for the others."""
         cb({'status': 404, 'fault': f'no operation {op}'})
--- a/zinctrail/ctl/api.py
+++ b/zinctrail/ctl/api.py
@@ -29,12 +29,11 @@
         self.calls = {}
 
     def on_http(self, rid, call):
-        self.calls[rid] = True
-
         def answer(res):
             # Why once: an ask may be answered after its caller was told that it wasn't.
             if self.calls.pop(rid, None):
                 self.out.append(outcome(rid, res))
+        self.calls[rid] = answer
         try:
             if len(self.calls) > self.bounds.queue_most:
                 raise faults.CallFault(503, 'busy', retry_ms=200)
@@ -53,8 +52,10 @@
         self.ask('beat', body, answer)
 
     def on_hung_up(self, rid):
-        """The caller went away; what it asked for may still happen."""
-        self.calls.pop(rid, None)
+        """The caller went away; what it asked for may still happen, but is not asked for again."""
+        answer = self.calls.pop(rid, None)
+        if answer is not None:
+            self.drop_ask(answer)
 
     def ready(self):
         """(whether ready, why not)"""
@@ -88,7 +89,8 @@
     status = res.pop('status')
     headers = dict(headers or {}, **{'content-type': 'application/json'})
     if status == 421:
-        status = 503
+        # Why not the promise for what may have been done by an earlier copy.
+        status = 504 if res.get('unknown') else 503
     if status in (409, 503, 504):
         # Why a hint at once: a caller is told when to come back, never kept waiting for it.
         res.setdefault('retry_ms', 300)
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -85,12 +85,17 @@
         row = {'holder': holder, 'fence': next_rev(txn), 'lease_ms': lease, 'take': by or str(head(txn))}
     elif row.get('take') != by or not by:
         # Why a write for a renewal: a freeing meant for an earlier taking must be known as late by any master.
-        row = dict(row, lease_ms=lease, take=by or str(next_rev(txn)))
+        row = dict(row, lease_ms=max(lease, row['lease_ms']), take=by or str(next_rev(txn)))
     txn.put('locks', name, row)
-    core.lock_until[name] = txn.now + core.lock_term(row)
+    hold_until(core, txn, name, lease)
     return {'status': 200, 'fence': row['fence'], 'take': row['take'], 'lease_ms': lease}
 
 
+def hold_until(core, txn, name, lease):
+    # Why never sooner: the reply to a call for less may be lost, and the holder counts on the longer one.
+    core.lock_until[name] = max(core.lock_until.get(name, txn.now), txn.now + core.lock_term({'lease_ms': lease}))
+
+
 @op('lock.free')
 def lock_free(core, txn, args):
     # Why the taking: one that was held up on its way must not free what was taken or renewed since.
@@ -208,9 +213,10 @@
     fence = next_rev(txn)
     # Why a new fence for the same holder too: a freeing of before, held up on its way, must not free this.
     # Why the first one is kept: whoever lost the reply to a later taking may still renew by an earlier one.
-    txn.put('locks', name, {'holder': holder, 'fence': fence, 'lease_ms': lease, 'take': str(fence),
+    txn.put('locks', name, {'holder': holder, 'fence': fence, 'take': str(fence),
+                            'lease_ms': max(lease, row['lease_ms']) if held else lease,
                             'first': row.get('first', row['fence']) if held else fence})
-    core.lock_until[name] = txn.now + core.lock_term({'lease_ms': lease})
+    hold_until(core, txn, name, lease)
     return {'status': 200, 'fence': fence}
 
 
@@ -226,7 +232,7 @@
     # Why a write only for a longer lease: who holds it is the same, and a new master counts it in full anyway.
     if lease > row['lease_ms']:
         txn.put('locks', name, dict(row, lease_ms=lease))
-    core.lock_until[name] = max(core.lock_until[name], txn.now + core.lock_term({'lease_ms': lease}))
+    hold_until(core, txn, name, lease)
     return {'status': 200, 'fence': fence}
 
 
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -19,6 +19,8 @@
 import zinctrail.seam as seam
 
 STATES = ('ready', 'draining', 'leaving')
+# Taken for cold until two beats of its own have said otherwise.
+CHILLED = 2
 
 
 def check_beat(b):
@@ -60,10 +62,15 @@
     if 'seq' in b:
         # Why not the milliseconds: they fall with every beat, and only whether it is cold matters to who sends.
         row['plain'] = True
-        row['chill'] = b.get('cold_ms', 0) > 0
+        row['chill'] = int(b.get('cold_ms', 0) > 0)
     return row
 
 
+def says(row, new):
+    """Whether a kept row says already what a beat says; which beat it was of doesn't matter."""
+    return row is not None and {k: v for k, v in row.items() if k != 'seq'} == new
+
+
 class Core(api.Api, standing.Standing, voter.Voter):
 
     def __init__(self, place, bounds, rng, files=None):
@@ -178,7 +185,7 @@
         check_beat(args)
         inc = args['inc']
         if self.mode == 'follower' and self.leased() and args['state'] != 'leaving' \
-                and self.rep.get('endpoints', inc) == row_of(args):
+                and says(self.rep.get('endpoints', inc), row_of(args)):
             self.heard.add(inc)
             cb({'status': 200, 'epoch': self.rep.get('meta', 'epoch') or 0})
         else:
@@ -197,17 +204,24 @@
         if seq is not None:
             self.seqs[inc] = seq
         self.beats[inc] = self.now
-        if self.rep.get('endpoints', inc) == row and not self.flight:
+        if says(self.rep.get('endpoints', inc), row) and not self.flight:
             cb({'status': 200, 'epoch': self.rep.get('meta', 'epoch') or 0})
             return
 
         def put(txn):
+            old = txn.get('endpoints', inc)
             if seq is None:
                 not_gone(txn, inc)
             elif txn.get('goners', f'{inc}/left') is not None:
                 # Why for good: it said itself that it goes; this was sent before.
                 return {'status': 200}
+            elif old and seq < old.get('seq', 0):
+                # Why here too: another master took what overtook it.
+                return {'status': 200}
             elif txn.get('goners', inc) is not None and row['state'] != 'leaving':
+                if any(o['addr'] == row['addr'] for o in txn.items('endpoints').values()):
+                    # Why: whoever came to its address since is alive, and this is a late word of the dead.
+                    return {'status': 200}
                 # Why let back: it numbers its beats and mints no new name, so it was only silent.
                 txn.drop('goners', inc)
             if row['state'] == 'leaving':
@@ -215,11 +229,15 @@
                 if seq is not None:
                     txn.put('goners', f'{inc}/left', txn.get('meta', 'epoch') or 0)
                 return {'status': 200}
-            for other, old in txn.items('endpoints').items():
+            for other, there in txn.items('endpoints').items():
                 # Why: an address has one incarnation; the newcomer proves that the old one is dead.
-                if other != inc and old['addr'] == row['addr']:
+                if other != inc and there['addr'] == row['addr']:
                     self.gone(txn, other)
-            txn.put('endpoints', inc, row)
+            new = row if seq is None else dict(row, seq=seq)
+            if old and old.get('chill') == CHILLED and seq is not None:
+                # Why not by one beat: it may have been sent before the endpoint got cold.
+                new['chill'] = 1
+            txn.put('endpoints', inc, old if says(old, row) else new)
             return {'status': 200, 'epoch': txn.get('meta', 'epoch') or 0}
         self.submit(put, cb)
 
@@ -235,6 +253,10 @@
 
     def gone(self, txn, inc):
         self.beats.pop(inc, None)
+        row = txn.get('endpoints', inc)
+        if row and row.get('plain') and row['state'] == 'draining':
+            # Why for good: it said that it goes, and a late beat from before must not undo that.
+            txn.put('goners', f'{inc}/left', txn.get('meta', 'epoch') or 0)
         txn.drop('endpoints', inc)
         # Why kept in the state: the next master must not let a late beat bring it back.
         txn.put('goners', inc, txn.get('meta', 'epoch') or 0)
@@ -374,6 +396,9 @@
 
     # -- operations for the others ----------------------------------------
 
+    def acts(self, op):
+        return op not in READS
+
     def serve(self, op, args, cb):
         try:
             if op in SERVES:
@@ -472,9 +497,9 @@
             else:
                 del row['emptied']
                 for inc, end in txn.items('endpoints').items():
-                    if end['cell'] == cell and end.get('plain') and not end['chill']:
-                        # Why: they may have got cold while nobody sent them anything; their next beat tells.
-                        txn.put('endpoints', inc, dict(end, chill=True))
+                    if end['cell'] == cell and end.get('plain'):
+                        # Why: they may have got cold while nobody sent them anything; their next beats tell.
+                        txn.put('endpoints', inc, dict(end, chill=CHILLED))
             txn.put('cells', cell, row)
             return {'status': 200}
         self.submit(put, cb)
@@ -509,6 +534,8 @@
 
 
 WATCHES = ('key.watch', 'cell.watch')
+# What changes nothing, however often it is done.
+READS = (*WATCHES, 'key.get', 'cell.get', 'lock.get', 'status', 'config.get', 'config.check', 'items.get', 'beat')
 
 SERVES = {
     'beat': Core.serve_beat,
