A leaving proxy tells its clients, stops accepting, finishes, and only then ends

Nothing told clients on open connections to go. Now: from the signal on each answer is its connection's last; after a standing answer's time, or half the grace, the listener closes, idle connections are closed, newcomers on the rest are refused as not run; it ends when its table is empty and the last answer is out, 0.6 s before the grace ends at the latest. Ruled out: closing idle connections at the signal, which meets requests that are on their way.

--- /dev/null
+++ b/features/steps/open_steps.py
@@ -0,0 +1,252 @@
+import random
+import socket
+import types
+
+import behave
+import twisted.internet.reactor as reactor
+
+import edge_steps
+import zinctrail.agree.partner as partner
+import zinctrail.bounds as bounds
+import zinctrail.data.proxy as proxy
+import zinctrail.edge.dialect as dialect
+import zinctrail.edge.front as front
+import zinctrail.seam as seam
+
+ms = seam.ms
+on_loop = edge_steps.on_loop
+
+
+class Bench:
+    """A proxy machine with its state put in by hand; effects are looked at, answers fed."""
+
+    def __init__(self, ends, rule=None, pool=None, proxies=1, seed=1, cells='c', chill=False):
+        self.now = ms(60000)
+        place = partner.Place('127.0.0.1:1', '127.0.0.1:2', 'r/c', [], '127.0.0.1:3')
+        self.p = proxy.Prox(place, bounds.Bounds(grace=ms(6000)), random.Random(seed))
+        self.p.now = self.now
+        self.p.sharers = proxy.repeats.Sharers(self.p.bounds, ms(0))
+        self.p.lease_until = ms(10 ** 9)
+        self.rows = [['members', f'm{i}', {'role': 'prox', 'addr': f'10.0.1.{i}:1', 'http': f'10.0.1.{i}:2',
+                                           'cell': 'r/c', 'level': 1, 'front': f'10.0.1.{i}:3'}] for i in range(proxies)]
+        for i in range(ends):
+            row = {'addr': f'10.0.0.{i + 1}:80', 'service': 's', 'cell': 'r/c', 'labels': {}, 'slots': 4,
+                   'state': 'ready', 'cold': 0}
+            if chill:
+                row['chill'] = True
+            self.rows.append(['endpoints', f'e{i}', row])
+        self.rule = {'name': 'x', 'version': 1, 'host': 'h', 'prefix': '/', 'once': False, 'timeout_ms': 2000,
+                     'aim_ms': 1000, 'rank': 0, 'attempts': 2, 'pool': 's', **(rule or {})}
+        self.rows.append(['items', 'rules/x', {'v': 1, 'row': self.rule}])
+        self.rows.append(['items', 'pools/s', {'v': 1, 'row': {
+            'name': 's', 'version': 1, 'health': '/health', 'connections': 100, 'cold_s': 3, 'cold_per_s': 6, **(pool or {})}}])
+        self.gen = 1
+        self.put(self.rows)
+        self.effects = []
+        self.no = 0
+
+    def put(self, rows):
+        rep = self.p.rep
+        rep.accept((1, self.gen), rows=rows)
+        rep.commit((1, self.gen))
+        self.gen += 1
+        self.p.applied(rows)
+        self.p.out.clear()
+
+    def feed(self, kind, *args):
+        got = self.p.feed(kind, self.now, *args)
+        self.effects += got
+        return got
+
+    def request(self, left=2000, rid=None, **headers):
+        self.no += 1
+        rid = ('front', self.no)
+        self.feed('front', rid, seam.Call('GET', '/a', {'host': 'h', 'zt-id': rid and f'id{self.no}', 'zt-left-ms': str(left), **headers}, b''))
+        return rid
+
+    def go(self, ms_):
+        until = self.now + ms(ms_)
+        while self.p.due() is not None and self.p.due() <= until:
+            self.now = max(self.now, self.p.due())
+            self.feed('wake')
+        self.now = until
+
+    def fetches(self):
+        return [e for e in self.effects if isinstance(e, seam.Fetch)]
+
+    def outcome(self, rid):
+        return next((e for e in self.effects if isinstance(e, seam.Outcome) and e.rid == rid), None)
+
+    def reply(self, fetch, status=200, fault='', sent=True, body=b'x', **headers):
+        headers = {'zt-id': fetch.headers['zt-id'], 'zt-stamp': 's', **{k.replace('_', '-'): v for k, v in headers.items()}}
+        self.feed('fetched', fetch.fid, seam.Fetched(status, headers, body, sent, fault))
+
+
+@behave.given('a proxy for open traffic with {n:d} endpoints')
+def _(context, n):
+    context.b = Bench(n)
+
+
+@behave.when('it is told to stop')
+def _(context):
+    context.b.feed('stop')
+    context.stop_at = context.b.now
+
+
+@behave.then('it is not ready, and tells its connections to go elsewhere')
+def _(context):
+    b = context.b
+    assert b.p.ready() == (False, 'leaving')
+    assert [e.shut for e in b.effects if isinstance(e, seam.Leave)] == [False]
+
+
+@behave.when('a request comes {s:g} s later')
+def _(context, s):
+    context.b.go(1000 * s)
+    context.rid = context.b.request()
+
+
+@behave.then('it is sent to an endpoint')
+def _(context):
+    context.first = context.rid
+    assert len(context.b.fetches()) == 1 and context.b.outcome(context.rid) is None
+
+
+@behave.when('{s:g} s more go by')
+def _(context, s):
+    context.b.go(1000 * s)
+
+
+@behave.then('it takes no more connections')
+def _(context):
+    assert [e.shut for e in context.b.effects if isinstance(e, seam.Leave)] == [False, True]
+
+
+@behave.then('it is refused as not run, with a time to come back')
+def _(context):
+    out = context.b.outcome(context.rid)
+    assert out.status == 503 and float(out.headers['retry-after']) > 0, out
+
+
+@behave.then('it ends only once the first request is answered, within its grace')
+def _(context):
+    b = context.b
+    b.go(300)
+    assert not any(isinstance(e, (seam.Exit)) for e in b.effects)
+    b.reply(b.fetches()[0])
+    assert b.outcome(context.first).status == 200
+    b.go(1000)
+    assert isinstance(b.effects[-1], seam.Exit) and b.now - context.stop_at < ms(6000)
+
+
+# -- the front over real connections ------------------------------------------
+
+class Held:
+    """A host whose machine keeps what it is fed."""
+
+    def __init__(self):
+        self.fed, self.gone = [], []
+
+    def feed(self, kind, rid, call=None):
+        (self.fed if kind == 'front' else self.gone).append((rid, call))
+
+
+class Client:
+
+    def __init__(self, port):
+        self.sock = socket.create_connection(('127.0.0.1', port), timeout=10)
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def read(self, until=None):
+        """All up to the connection's end, or up to `until`."""
+        got = b''
+        while until is None or until not in got:
+            try:
+                more = self.sock.recv(65536)
+            except ConnectionResetError:
+                more = b''
+            if not more:
+                break
+            got += more
+        return got
+
+
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\nzt-id: 1\r\n\r\n'
+
+
+def wait_for(fn):
+    """Until fn() holds on the loop; the loop's own turns are the clock."""
+    for _ in range(20000):
+        got = on_loop(fn)
+        if got:
+            return got
+    raise AssertionError('never came')
+
+
+def open_front(context, **limits):
+    context.held = Held()
+
+    def make():
+        f = front.Front(context.held, dialect.Plain(), reactor)
+        f.listen(0, '127.0.0.1')
+        return f
+    context.front = on_loop(make)
+    context.portno = context.front.port.getHost().port
+
+
+@behave.given('a front whose machine answers when told to')
+def _(context):
+    open_front(context)
+
+
+@behave.when('two clients connect, one of them sends a request, and the front leaves')
+def _(context):
+    context.a, context.z, context.half = (Client(context.portno) for _ in range(3))
+    context.a.send(GET)
+    context.half.send(GET[:20])
+    wait_for(lambda: len(context.front.channels) == 3 and context.held.fed
+             and sum(c.resting() for c in context.front.channels) == 1)
+    on_loop(lambda: context.front.leave(False))
+
+
+def answer(context, body=b'whole', n=-1):
+    rid = context.held.fed[n][0]
+    on_loop(lambda: context.front.answer(seam.Outcome(rid, 200, {}, body)))
+
+
+@behave.when('the request is answered')
+def _(context):
+    answer(context)
+
+
+@behave.then("its answer is whole, and its connection's last")
+def _(context):
+    got = context.a.read()
+    assert got.lower().count(b'connection: close') == 1 and got.endswith(b'\r\n\r\nwhole'), got
+
+
+@behave.when('the front is shut')
+def _(context):
+    on_loop(lambda: context.front.leave(True))
+
+
+@behave.then("the other client's connection is closed, and no new one is accepted")
+def _(context):
+    assert context.z.read() == b''
+    try:
+        Client(context.portno)
+    except ConnectionRefusedError:
+        return
+    raise AssertionError('accepted')
+
+
+@behave.then('a request half read at that time is still answered')
+def _(context):
+    context.half.send(GET[20:])
+    wait_for(lambda: len(context.held.fed) == 2)
+    answer(context)
+    got = context.half.read()
+    assert b'connection: close' in got.lower() and got.endswith(b'whole'), got
+    wait_for(lambda: not context.front.channels)
--- a/zinctrail/bounds.py
+++ b/zinctrail/bounds.py
@@ -7,6 +7,10 @@
 
 ms = seam.ms
 
+# Those that may change while a process runs. Why not the others: partners must agree on them, or sockets hold them.
+LIVE = ('answer', 'beat', 'beats_missed', 'prober', 'demand', 'linger', 'grace', 'repeat_share', 'repeat_allowance',
+        'queue_most', 'call', 'ack', 'remember')
+
 
 @dataclasses.dataclass
 class Bounds:
@@ -30,6 +34,8 @@
     demand: datetime.timedelta = ms(400)
     # How far two clocks may go apart, as a share of the time gone.
     slack: float = 0.05
+    # How long after being told to stop a process may live: all it has must be told by then.
+    grace: datetime.timedelta = ms(11000)
     linger: datetime.timedelta = ms(10000)
     repeat_window: datetime.timedelta = ms(10000)
     repeat_share: float = 0.2
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -62,7 +62,8 @@
         if not seam.is_whole(left) or len(left) > 9:
             raise passes.Drop(400, 'the time left must be a whole number of milliseconds')
         rec.until = rec.came + seam.ms(int(left))
-    if prox.stopping and prox.now >= prox.stop_by:
+    if prox.parted:
+        # Why refused: it would still be at work when the process has to end.
         raise passes.Drop(503, 'leaving', retry_ms=50)
     if len(prox.table) > prox.bounds.queue_most:
         raise passes.Drop(503, 'busy', retry_ms=300)
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -27,6 +27,8 @@
 
 # Why short: whoever was given up on is to be told, and a master that is there answers in much less.
 CLOSE_WAIT = seam.ms(500)
+# What an orderly exit takes, at the end of the grace: the leave, the last answers.
+LAST = seam.ms(600)
 
 
 def unsure(e):
@@ -91,6 +93,8 @@
         # Ids of traffic that needs no claims, by when they first came: {id: (record, when)}.
         self.met = collections.OrderedDict()
         self.policies = {}
+        # Whether, on leaving, open traffic is no longer taken.
+        self.parted = False
         self.open_init()
 
     def count(self):
@@ -634,13 +638,20 @@
         self.log('Leaves: not ready any more, finishes its work.')
         if self.master:
             self.tell(self.master['addr'], 'leaving', successors={})
-        # Why as long as an answer: requesters go on using us until theirs ends.
-        self.alarm('part', self.bounds.answer + self.bounds.check)
-        self.stop_by = self.now + self.bounds.answer + seam.ms(8000)
+        # Why as long as an answer: requesters go on using us until theirs ends. Why not beyond half the grace: what
+        # came last needs time for its work.
+        self.alarm('part', min(self.bounds.answer + self.bounds.check * 2, self.bounds.grace / 2))
+        self.stop_by = self.now + self.bounds.grace - LAST
+        if self.place.front:
+            self.out.append(seam.Leave())
 
     def alarm_part(self):
+        if self.place.front and not self.parted:
+            # Why before the table is looked at: while newcomers are taken it may never be empty.
+            self.parted = True
+            self.out.append(seam.Leave(shut=True))
         if self.table and self.now < self.stop_by:
-            self.alarm('part', seam.ms(100))
+            self.alarm('part', seam.ms(50))
             return
         if self.master:
             self.tell(self.master['addr'], 'leave')
--- a/zinctrail/edge/front.py
+++ b/zinctrail/edge/front.py
@@ -26,10 +26,29 @@
             self.site.left(self)
 
 
+class Channel(http.HTTPChannel):
+    """One connection of a client."""
+
+    site = None
+
+    def connectionMade(self):
+        super().connectionMade()
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason):
+        self.site.channels.discard(self)
+        super().connectionLost(reason)
+
+    def resting(self):
+        """Whether no request is in it, nor the beginning of one."""
+        return not self.requests and not self._receivedHeaderSize and not self._buffer
+
+
 class Front(http.HTTPFactory):
     """The listener; `answer` is given the machine's outcomes."""
 
     noisy = False
+    protocol = Channel
 
     def __init__(self, host, dialect, reactor):
         super().__init__(reactor=reactor)
@@ -37,6 +56,8 @@
         self.dialect = dialect
         self.no = 0
         self.open = {}
+        self.channels = set()
+        self.port = None
         self.body_most = 64 << 20
         self.idle = 15
         self.closing = False
@@ -44,15 +65,26 @@
     def log(self, request):
         """Why nothing: twisted's access log is not ours."""
 
+    def listen(self, port, interface):
+        self.port = self.reactor.listenTCP(port, self, interface=interface)
+
     def buildProtocol(self, addr):
         self.timeOut = self.idle
         channel = super().buildProtocol(addr)
-        # Why the inner one: the factory hands out a wrapper that picks the protocol.
-        inner = getattr(channel, '_channel', channel)
-        inner.requestFactory = FrontRequest
-        inner.site = self
+        channel.requestFactory = FrontRequest
+        channel.site = self
         return channel
 
+    def leave(self, shut):
+        """Every answer from here on is its connection's last; with `shut`, no new connection is taken either."""
+        self.closing = True
+        if not shut or self.port is None:
+            return
+        self.port.stopListening()
+        self.port = None
+        for channel in [c for c in self.channels if c.resting()]:
+            channel.loseConnection()
+
     def came(self, request):
         request.site = self
         if request.got > self.body_most:
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -16,9 +16,11 @@
 import zinctrail.faults as faults
 import zinctrail.seam as seam
 
-# Why: one stalled write or pass holds up everything on the loop, so it must be seen.
 # The exit code of a node that can't go on (sysexits: an internal fault).
 BROKE = 70
+# How often an exit looks, 20 ms apart, whether open traffic still has connections.
+EXIT_TRIES = 10
+# Why: one stalled write or pass holds up everything on the loop, so it must be seen.
 STALL = datetime.timedelta(milliseconds=200)
 
 
@@ -65,7 +67,7 @@
             if place.front:
                 host, port = wire.split(place.front)
                 self.front = front.Front(self, self.dialect, self.reactor)
-                self.reactor.listenTCP(port, self.front, interface=host)
+                self.front.listen(port, host)
                 task.LoopingCall.withCount(lambda n: self.relay.sweep()).start(1.0, now=False)
         except Exception as e:
             raise faults.SettingFault(f'can not listen: {e}') from e
@@ -160,7 +162,11 @@
         d = self.fetcher.fetch(e.inc, e.addr, e.method, e.path, e.headers, e.body, e.wait)
         d.addCallback(lambda res: self.feed('fetched', e.fid, res))
 
-    def exit(self, e):
+    def exit(self, e, tries=EXIT_TRIES):
+        if self.front is not None and self.front.channels and tries and not self.code:
+            # Why waited for: an answer not yet written, or a request not yet read, would end with its connection.
+            self.reactor.callLater(0.02, self.exit, e, tries - 1)
+            return
         self.ended = True
         # Why a moment: what was just sent should get out.
         self.reactor.callLater(0.05, self.reactor.stop)
@@ -175,6 +181,7 @@
     seam.Outcome: Host.answer,
     seam.Fetch: Host.fetch,
     seam.Close: Host.close_ends,
+    seam.Leave: lambda host, e: host.front.leave(e.shut) if host.front else None,
     seam.Log: lambda host, e: logging.info('%s', e.text),
     seam.Done: lambda host, e: host.inputs.append(('done', (e.name,))),
     seam.Exit: Host.exit,
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -85,6 +85,12 @@
     inc: str
 
 
+@dataclasses.dataclass(slots=True)
+class Leave:
+    """Open traffic is to go elsewhere: each answer is its connection's last; with `shut` none are accepted."""
+    shut: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Log:
     text: str
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -229,6 +229,7 @@
     seam.Close: lambda node, e: None,
     seam.Log: Node.do_log,
     seam.Done: Node.do_done,
+    seam.Leave: lambda node, e: None,
     seam.Exit: Node.do_exit,
 }
 
