Settings are read anew on SIGHUP and by looking; a bad file changes nothing

Now: on SIGHUP and every 2 s the file is looked at; seeds and the bounds that may change are taken in place, the others are told to wait for the next start, a file with a fault is told and changes nothing. Ruled out: copying all flags to parse the new line, which sets the logs' level.

--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,152 @@
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+
+import behave
+
+import zinctrail.agree.partner as partner
+import zinctrail.bounds as bounds
+import zinctrail.data.proxy as proxy
+import zinctrail.seam as seam
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ms = seam.ms
+
+
+def free_ports(n):
+    """The first of `n` free ports in a row."""
+    while True:
+        first = random.randrange(20000, 30000)
+        socks = [socket.socket() for _ in range(n)]
+        try:
+            for i, s in enumerate(socks):
+                s.bind(('127.0.0.1', first + i))
+            return first
+        except OSError:
+            continue
+        finally:
+            for s in socks:
+                s.close()
+
+
+def write(context):
+    # Why aside: the process may read at any moment.
+    with open(context.name + '.new', 'w') as f:
+        json.dump(context.doc, f)
+    os.rename(context.name + '.new', context.name)
+
+
+@behave.given('a proxy of the platform with a settings file')
+def _(context):
+    port = free_ports(4)
+    context.doc = {
+        'ip_address': '127.0.0.1', 'zone': 'z', 'region': 'r', 'zones': {'z': 'r'},
+        'internal_port_range': [port, port + 1], 'seed_nodes': ['127.0.0.1:1'],
+        'listen_addresses': {'front_http': f'127.0.0.1:{port + 2}', 'readiness': f'127.0.0.1:{port + 3}'},
+        'bounds': {'contact_ms': 5000, 'ttl_max_s': 1}, 'beat_interval_ms': 1500}
+    context.name = os.path.join(tempfile.mkdtemp(prefix='zt-settings-'), 'node.json')
+    write(context)
+    context.proc = subprocess.Popen([sys.executable, 'platform/ztprox.py'], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                                    env={**os.environ, 'ZINCTRAIL_SETTINGS': context.name})
+    # Why bounded: a process that never tells must fail the scenario, not hold it up.
+    late = threading.Timer(60, context.proc.kill)
+    late.start()
+    context.add_cleanup(late.cancel)
+    context.add_cleanup(context.proc.wait)
+    context.add_cleanup(context.proc.kill)
+    line_with(context, 'Starts as')
+
+
+def line_with(context, text):
+    for line in context.proc.stderr:
+        if text in line:
+            return line
+    raise AssertionError(f'ended with {context.proc.wait()} before it told of {text}')
+
+
+@behave.when('the file names other seeds and the process gets SIGHUP')
+def _(context):
+    context.doc['seed_nodes'] = ['127.0.0.1:1', '127.0.0.2:1']
+    write(context)
+    context.proc.send_signal(signal.SIGHUP)
+
+
+@behave.when('the file is written over with half a document and the process gets SIGHUP')
+def _(context):
+    with open(context.name, 'w') as f:
+        f.write('{"seed_nodes": [')
+    context.proc.send_signal(signal.SIGHUP)
+
+
+@behave.when('the file names a longer answer and nobody tells the process')
+def _(context):
+    context.doc['bounds']['ttl_max_s'] = 2
+    write(context)
+
+
+@behave.when('the file names another lease and the process gets SIGHUP')
+def _(context):
+    context.doc['bounds']['contact_ms'] = 4000
+    write(context)
+    context.proc.send_signal(signal.SIGHUP)
+
+
+@behave.then('it tells that {what} changed, and runs on')
+def _(context, what):
+    assert what in line_with(context, 'Settings read anew; changed: ')
+    assert context.proc.poll() is None
+
+
+@behave.then('it tells that it goes on with those it has, and runs on')
+def _(context):
+    line_with(context, 'goes on with those it has')
+    assert context.proc.poll() is None
+
+
+@behave.then('it tells that the next start takes lease, and runs on')
+def _(context):
+    line = line_with(context, 'from the next start: ')
+    assert 'lease' in line and 'changed: nothing' in line, line
+    assert context.proc.poll() is None
+
+
+@behave.given('a machine with its settings')
+def _(context):
+    context.m = proxy.Prox(partner.Place('127.0.0.1:1', '127.0.0.1:2', 'r/c', ['127.0.0.1:7']), bounds.Bounds(),
+                           random.Random(1))
+    context.m.feed('start', ms(0))
+
+
+CHANGES = {
+    'other seeds': (['127.0.0.1:8'], {}),
+    'an answer of 1000 ms': (['127.0.0.1:7'], {'answer': ms(1000)}),
+    'a share of repeats above bound': (['127.0.0.1:8'], {'repeat_share': 0.5}),
+}
+
+
+@behave.when('settings come with {change}')
+def _(context, change):
+    seeds, changed = CHANGES[change]
+    context.m.feed('settings', ms(10), partner.Place('127.0.0.1:1', '127.0.0.1:2', 'r/c', seeds), bounds.Bounds(**changed))
+    context.probed = {e.addr for e in context.m.feed('wake', ms(1000)) if isinstance(e, seam.Send)}
+
+
+@behave.then('it asks the new seeds')
+def _(context):
+    assert context.probed == {'127.0.0.1:8'}, context.probed
+
+
+@behave.then('it answers for 1000 ms, and seeds stay')
+def _(context):
+    assert context.m.bounds.answer == ms(1000) and context.probed == {'127.0.0.1:7'}
+
+
+@behave.then('it goes on as before')
+def _(context):
+    assert context.probed == {'127.0.0.1:7'} and context.m.bounds.repeat_share == bounds.Bounds().repeat_share
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -166,6 +166,26 @@
         if self.master and self.master['addr'] == addr and self.mode == 'follower':
             self.lose_master('disconnected')
 
+    def on_settings(self, place, bounds):
+        """Settings that came while running: seeds, and the bounds that may change."""
+        merged = dataclasses.replace(self.bounds, **{n: getattr(bounds, n) for n in bounds_.LIVE})
+        bad = merged.faults()
+        if bad:
+            self.log('Settings not taken: ' + '; '.join(f'{n} {t}' for n, t in bad) + '.')
+            return
+        changed = [n for n in bounds_.LIVE if getattr(merged, n) != getattr(self.bounds, n)]
+        for n in changed:
+            # Why in place: windows and ledgers hold on to the same bounds.
+            setattr(self.bounds, n, getattr(merged, n))
+        if place.seeds != self.place.seeds:
+            changed.append('seeds')
+            self.place.seeds = list(place.seeds)
+        later = [f.name for f in dataclasses.fields(bounds) if getattr(bounds, f.name) != getattr(self.bounds, f.name)]
+        later += [n for n in ('addr', 'http', 'cell', 'front') if getattr(place, n) != getattr(self.place, n)]
+        if changed or later:
+            self.log(f'Settings read anew; changed: {", ".join(changed) or "nothing"}'
+                     + (f'; from the next start: {", ".join(later)}' if later else '') + '.')
+
     def on_stop(self):
         """Asked to end: leave so that nobody needs to notice."""
         if self.stopping:
--- a/zinctrail/edge/main.py
+++ b/zinctrail/edge/main.py
@@ -9,6 +9,7 @@
 import absl.flags
 import absl.logging
 import twisted.internet.reactor
+import twisted.internet.task as task
 import twisted.python.log as twisted_log
 
 import zinctrail
@@ -21,46 +22,80 @@
 
 FLAGS = absl.flags.FLAGS
 USAGE = 2
+# How often settings are looked at that nobody told to have changed, in seconds.
+LOOK = 2.0
 
 
-def place_flags():
-    absl.flags.DEFINE_string('addr', '', 'IP:PORT for our own processes.')
-    absl.flags.DEFINE_string('http', '', 'IP:PORT for HTTP.')
-    absl.flags.DEFINE_string('cell', '', 'The cell this process stands in.')
-    absl.flags.DEFINE_list('seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.')
-    absl.flags.DEFINE_string('front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.')
-    absl.flags.DEFINE_list('doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.')
+def place_flags(flags=FLAGS):
+    absl.flags.DEFINE_string('addr', '', 'IP:PORT for our own processes.', flag_values=flags)
+    absl.flags.DEFINE_string('http', '', 'IP:PORT for HTTP.', flag_values=flags)
+    absl.flags.DEFINE_string('cell', '', 'The cell this process stands in.', flag_values=flags)
+    absl.flags.DEFINE_list('seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.', flag_values=flags)
+    absl.flags.DEFINE_string('front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.', flag_values=flags)
+    absl.flags.DEFINE_list('doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.', flag_values=flags)
     for f in dataclasses.fields(bounds.Bounds):
         if isinstance(f.default, datetime.timedelta):
-            absl.flags.DEFINE_integer(f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.')
+            absl.flags.DEFINE_integer(f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.', flag_values=flags)
         elif isinstance(f.default, float):
-            absl.flags.DEFINE_float(f.name, f.default, f'Bound {f.name}.')
+            absl.flags.DEFINE_float(f.name, f.default, f'Bound {f.name}.', flag_values=flags)
         else:
-            absl.flags.DEFINE_integer(f.name, f.default, f'Bound {f.name}.')
+            absl.flags.DEFINE_integer(f.name, f.default, f'Bound {f.name}.', flag_values=flags)
 
 
-def read_bounds():
+def read_bounds(flags=FLAGS):
     vals = {}
     for f in dataclasses.fields(bounds.Bounds):
         if isinstance(f.default, datetime.timedelta):
-            vals[f.name] = seam.ms(getattr(FLAGS, f'{f.name}_ms'))
+            vals[f.name] = seam.ms(getattr(flags, f'{f.name}_ms'))
         else:
-            vals[f.name] = getattr(FLAGS, f.name)
+            vals[f.name] = getattr(flags, f.name)
     return bounds.Bounds(**vals)
 
 
-def read_place():
-    bad = [f'--{n}: must be IP:PORT, not {getattr(FLAGS, n)!r}'
-           for n in ('addr', 'http') if not frames.is_addr(getattr(FLAGS, n))]
-    bad += [f'--seeds: must be IP:PORT, not {s!r}' for s in FLAGS.seeds if not frames.is_addr(s)]
-    bad += [f'--{n}: must be IP:PORT, not {s!r}' for n, many in (('doors', FLAGS.doors), ('front', [FLAGS.front]))
+def read_place(flags=FLAGS):
+    bad = [f'--{n}: must be IP:PORT, not {getattr(flags, n)!r}'
+           for n in ('addr', 'http') if not frames.is_addr(getattr(flags, n))]
+    bad += [f'--seeds: must be IP:PORT, not {s!r}' for s in flags.seeds if not frames.is_addr(s)]
+    bad += [f'--{n}: must be IP:PORT, not {s!r}' for n, many in (('doors', flags.doors), ('front', [flags.front]))
             for s in many if s and not frames.is_addr(s)]
-    if not FLAGS.cell:
+    if not flags.cell:
         bad.append('--cell: is missing')
-    bad += [f'--{n}: {t}' for n, t in read_bounds().faults()]
+    bad += [f'--{n}: {t}' for n, t in read_bounds(flags).faults()]
     if bad:
         raise faults.SettingFault('\n'.join(bad))
-    return partner.Place(FLAGS.addr, FLAGS.http, FLAGS.cell, list(FLAGS.seeds), FLAGS.front)
+    return partner.Place(flags.addr, flags.http, flags.cell, list(flags.seeds), flags.front)
+
+
+def read_again(argv):
+    """(place, bounds) of another command line; the flags of this process stay as they are."""
+    # Why not a copy of ours: some flags act when they are set, such as the logs' level.
+    flags = absl.flags.FlagValues()
+    place_flags(flags)
+    try:
+        flags(argv, known_only=True)
+    except absl.flags.Error as e:
+        raise faults.SettingFault(str(e)) from e
+    return read_place(flags), read_bounds(flags)
+
+
+class Again:
+    """Settings read anew while running: all of them or, where one is bad, none.
+
+    `source`() gives the command line as it stands now, or None where it has not changed.
+    """
+
+    def __init__(self, host_, source):
+        self.host = host_
+        self.source = source
+
+    def look(self):
+        try:
+            argv = self.source()
+            if argv is not None:
+                self.host.feed('settings', *read_again(argv))
+        except Exception as e:  # Why broad: whatever is wrong with them, the process goes on with what it has.
+            absl.logging.error('%s: settings can not be used, goes on with those it has: %s',
+                               self.host.machine.prefix, '; '.join(str(e).splitlines()))
 
 
 def parse(doc, argv=None):
@@ -82,9 +117,15 @@
         sys.exit(USAGE)
 
 
-def serve(doc, make, dialect=None, argv=None):
-    """Run one machine: make(place, bounds, rng) -> (machine, disk)."""
+def serve(doc, make, dialect=None, argv=None, again=None):
+    """Run one machine: make(place, bounds, rng) -> (machine, disk).
+
+    `again`() gives a new command line when the settings have changed, else
+    None; it is asked now and then, and on SIGHUP. Without one, SIGHUP has the
+    flagfiles read anew.
+    """
     place_flags()
+    argv = list(sys.argv if argv is None else argv)
     rest = parse(doc, argv)
     absl.logging.use_absl_handler()
     if FLAGS['verbosity'].using_default_value:
@@ -96,15 +137,17 @@
         place, bound = read_place(), read_bounds()
         machine, disk = make(place, bound, random.SystemRandom())
         h = host.Host(machine, twisted.internet.reactor, disk, dialect, FLAGS.doors)
+        # Why before the start: by default these signals end a process, and they may come at any moment.
+        anew = Again(h, again or (lambda: argv))
+        for s in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(s, lambda *_: twisted.internet.reactor.callFromThread(h.feed, 'stop'))
+        signal.signal(signal.SIGHUP, lambda *_: twisted.internet.reactor.callFromThread(anew.look))
         h.start()
     except faults.Fault as e:
         for line in str(e).splitlines():
             print(f'{sys.argv[0]}: {line}', file=sys.stderr)
         sys.exit(USAGE)
-
-    def stop(*_):
-        twisted.internet.reactor.callFromThread(h.feed, 'stop')
-    for s in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(s, stop)
+    if again:
+        task.LoopingCall.withCount(lambda n: anew.look()).start(LOOK, now=False)
     twisted.internet.reactor.run(installSignalHandlers=False)
     sys.exit(h.code)
--- a/zinctrail/prog/ztcore.py
+++ b/zinctrail/prog/ztcore.py
@@ -26,10 +26,10 @@
         return core.Core(place, bounds, rng, {}), disk
 
 
-def run(dialect=None, argv=None):
+def run(dialect=None, argv=None, again=None):
     absl.flags.DEFINE_string('data', '', 'The data folder.')
     absl.flags.DEFINE_bool('directory', False, 'Give standing answers too.')
-    main.serve(__doc__, make, dialect, argv)
+    main.serve(__doc__, make, dialect, argv, again)
 
 
 if __name__ == '__main__':
--- a/zinctrail/prog/ztprox.py
+++ b/zinctrail/prog/ztprox.py
@@ -7,8 +7,8 @@
 import zinctrail.edge.main as main
 
 
-def run(dialect=None, argv=None):
-    main.serve(__doc__, lambda place, bounds, rng: (proxy.Prox(place, bounds, rng), None), dialect, argv)
+def run(dialect=None, argv=None, again=None):
+    main.serve(__doc__, lambda place, bounds, rng: (proxy.Prox(place, bounds, rng), None), dialect, argv, again)
 
 
 if __name__ == '__main__':
