The operator's limits hold at the front, for open connections too

Cause: header, body, header time and idle time were twisted's defaults, not the limits item's; forms were parsed (a form nobody could read got a 400 of ours), bodies were bounded one by one only, header bytes above 127 came out as two.

--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -250,3 +250,119 @@
     got = context.half.read()
     assert b'connection: close' in got.lower() and got.endswith(b'whole'), got
     wait_for(lambda: not context.front.channels)
+
+
+# -- limits ---------------------------------------------------------------------
+
+@behave.given('a front with header_bytes {header:d}, body_bytes {body:d}, header_ms {header_ms:d}, idle_ms {idle_ms:d}')
+def _(context, header, body, header_ms, idle_ms):
+    open_front(context)
+    context.limits = seam.Limits(header, body, header_ms, idle_ms)
+    on_loop(lambda: context.front.limit(context.limits))
+
+
+def chunks(*sizes):
+    return b''.join(b'%x\r\n%s\r\n' % (n, b'x' * n) for n in sizes) + b'0\r\n\r\n'
+
+
+HEAD = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+FORM = b'Content-Type: multipart/form-data\r\nContent-Length: 2000\r\n\r\n'
+SENDS = {
+    'a header line of 1500 bytes': b'GET /a HTTP/1.1\r\nA: %s\r\n' % (b'x' * 1500),
+    'many header lines of 1500 bytes together': b'GET /a HTTP/1.1\r\n' + b'A: xxxxx\r\n' * 190,
+    'a header of 900 bytes': b'GET /a HTTP/1.1\r\nA: %s\r\n\r\n' % (b'x' * 880),
+    'a body told as 2001 bytes': HEAD + b'Content-Length: 2001\r\n\r\nx',
+    'a body told as 90000000 bytes': HEAD + b'Content-Length: 90000000\r\n\r\nx',
+    'a body in chunks of 2500 bytes together': CHUNKED + chunks(1000, 1500),
+    'a body of 2000 bytes in chunks': CHUNKED + chunks(500, 1500),
+    'a form of 2000 bytes that nobody can read': HEAD + FORM + b'%' * 2000,
+    'a line that is no header': b'GET /a HTTP/1.1\r\nwhat is this\r\n\r\n',
+    'half a header, and then nothing': GET[:30],
+    'half a body, and then nothing': HEAD + b'Content-Length: 100\r\n\r\nhalf',
+    'nothing at all': b'',
+}
+
+
+@behave.when('a client sends {what}')
+def _(context, what):
+    context.a, context.z = Client(context.portno), Client(context.portno)
+    wait_for(lambda: len(context.front.channels) == 2)
+    context.a.send(SENDS[what])
+
+
+def turn(context, s):
+    """As if `s` seconds had gone by."""
+    real = context.front.now
+    on_loop(lambda: (setattr(context.front, 'now', lambda: real() + s), context.front.sweep()))
+    context.front.now = real
+
+
+@behave.then('it is answered {answer_}, and another client is served meanwhile')
+def _(context, answer_):
+    context.z.send(GET)
+    wait_for(lambda: any(call.headers.get('zt-id') for _, call in context.held.fed))
+    answer(context, n=next(i for i, (_, call) in enumerate(context.held.fed) if call.headers.get('zt-id')))
+    assert context.z.read(b'whole').startswith(b'HTTP/1.1 200 ')
+    if answer_ == '200':
+        wait_for(lambda: len(context.held.fed) == 2)
+        answer(context, n=next(i for i, (_, call) in enumerate(context.held.fed) if not call.headers.get('zt-id')))
+        assert context.a.read(b'whole').startswith(b'HTTP/1.1 200 ')
+        return
+    if answer_ in ('408', 'close'):
+        turn(context, 0.1)
+        assert len(context.front.channels) == 2
+        # Why twice: what takes too long is refused, what does not go then is cut.
+        turn(context, 3)
+    got = context.a.read()
+    context.a.sock.close()
+    assert got.startswith(b'HTTP/1.1 %s ' % answer_.encode()) if answer_ != 'close' else got == b'', got
+    assert (b'Retry-After' in got) == (answer_ == '503')
+    assert len(context.held.fed) == 1
+    wait_for(lambda: all(not c.deaf for c in context.front.channels))
+    assert on_loop(lambda: context.front.held) == 0
+
+
+@behave.when("a client's request is answered")
+def _(context):
+    context.a = Client(context.portno)
+    context.a.send(GET)
+    wait_for(lambda: context.held.fed)
+    answer(context)
+    context.got = context.a.read(b'whole')
+
+
+@behave.then('its answer says timeout={n:d}')
+def _(context, n):
+    assert b'timeout=%d\r\n' % n in context.got, context.got
+
+
+@behave.when('the limits come with idle_ms {n:d}')
+def _(context, n):
+    turn(context, 5)
+    assert len(context.front.channels) == 1
+    on_loop(lambda: context.front.limit(seam.Limits(1000, 2000, 300, n)))
+    turn(context, 5)
+
+
+@behave.then('the resting connection is closed in order')
+def _(context):
+    assert context.a.sock.recv(10) == b''
+
+
+@behave.when('the limits item sets idle_ms to {n:d}')
+def _(context, n):
+    b = context.b
+    rows = [['items', 'limits', {'v': 5, 'row': {'version': 5, 'idle_ms': n}}]]
+    b.p.rep.accept((1, b.gen), rows=rows)
+    b.p.rep.commit((1, b.gen))
+    context.told = []
+    for _ in range(2):
+        b.p.applied(rows)
+        context.told += [e for e in b.p.out if isinstance(e, seam.Limits)]
+        b.p.out.clear()
+
+
+@behave.then('the front is told idle_ms {n:d} once')
+def _(context, n):
+    assert context.told == [seam.Limits(idle_ms=n)], context.told
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import dataclasses
 
 import zinctrail.data.passes as passes
 import zinctrail.seam as seam
@@ -175,6 +176,7 @@
         self.ends = {}
         self.open_fetches = {}
         self.waiting = collections.deque()
+        self.limits = seam.Limits()
 
     def on_front(self, rid, call):
         self.begin(passes.Record(rid, call, self.now, passes=PASSES))
@@ -325,6 +327,11 @@
         self.out.append(seam.Outcome(rec.rid, status, headers, f'{e}\n'.encode()))
 
     def open_applied(self):
+        row = self.routes.item('limits') or {}
+        limits = seam.Limits(**{f.name: row[f.name] for f in dataclasses.fields(seam.Limits) if f.name in row})
+        if limits != self.limits:
+            self.limits = limits
+            self.out.append(limits)
         here = self.rep.get('endpoints')
         for inc in [i for i, end in self.ends.items() if i not in here and not end.use]:
             del self.ends[inc]
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -18,6 +18,8 @@
 
 # The exit code of a node that can't go on (sysexits: an internal fault).
 BROKE = 70
+# How often the connections of open traffic are looked at, in seconds.
+SWEEP = 0.25
 # How often an exit looks, 20 ms apart, whether open traffic still has connections.
 EXIT_TRIES = 10
 # Why: one stalled write or pass holds up everything on the loop, so it must be seen.
@@ -69,6 +71,7 @@
                 self.front = front.Front(self, self.dialect, self.reactor)
                 self.front.listen(port, host)
                 task.LoopingCall.withCount(lambda n: self.relay.sweep()).start(1.0, now=False)
+                task.LoopingCall.withCount(lambda n: self.front.sweep()).start(SWEEP, now=False)
         except Exception as e:
             raise faults.SettingFault(f'can not listen: {e}') from e
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.shutdown)
@@ -181,6 +184,7 @@
     seam.Outcome: Host.answer,
     seam.Fetch: Host.fetch,
     seam.Close: Host.close_ends,
+    seam.Limits: lambda host, e: host.front.limit(e) if host.front else None,
     seam.Leave: lambda host, e: host.front.leave(e.shut) if host.front else None,
     seam.Log: lambda host, e: logging.info('%s', e.text),
     seam.Done: lambda host, e: host.inputs.append(('done', (e.name,))),
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -85,6 +85,15 @@
     inc: str
 
 
+@dataclasses.dataclass(slots=True)
+class Limits:
+    """What a client of open traffic may send, and how long it may take or rest."""
+    header_bytes: int = 16384
+    body_bytes: int = 64 << 20
+    header_ms: int = 3000
+    idle_ms: int = 15000
+
+
 @dataclasses.dataclass(slots=True)
 class Leave:
     """Open traffic is to go elsewhere: each answer is its connection's last; with `shut` none are accepted."""
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -230,6 +230,7 @@
     seam.Log: Node.do_log,
     seam.Done: Node.do_done,
     seam.Leave: lambda node, e: None,
+    seam.Limits: lambda node, e: None,
     seam.Exit: Node.do_exit,
 }
 
