--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -155,7 +155,7 @@
         m = core.Core(partner.Place('127.0.0.1:1', '127.0.0.1:2', 'c', []), bounds.Bounds(), random.Random(gen), d.load())
         with mock.patch.object(os, 'fsync', lambda fd: None):
             h = hosted(m, d)
-            h.links.send = lambda addr, msg: None
+            h.links.send = lambda addr, msg, packs: None
             h.feed('start')
             if m.empty():
                 m.take_boot('c' * 32, [m.node])
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -90,9 +90,12 @@
 
     # -- what leaves ------------------------------------------------------
 
-    def tell(self, addr, kind, **body):
+    def frame(self, kind, **body):
         body.update(t=kind, v=self.level, c=self.cluster, f=self.node, a=self.place.addr)
-        self.send(addr, body)
+        return body
+
+    def tell(self, addr, kind, **body):
+        self.send(addr, self.frame(kind, **body))
 
     def member(self):
         row = {'role': self.role, 'addr': self.place.addr, 'http': self.place.http,
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -84,6 +84,7 @@
         self.node = node
         self.addr = row['addr']
         self.role = row['role']
+        self.level = row.get('level', 1)
         self.accepted = None
         self.committed = (0, 0)
         self.acked = 0
@@ -125,6 +126,8 @@
         self.pushes = 0
         self.joined_at = {}
         self.peers = {}
+        # Publications of the newest generation: {(accepted, at, whether to a control node, base): frame}.
+        self.offers = {}
         self.tasks = []
         self.flight = None
         self.fences = []
@@ -499,6 +502,7 @@
         self.flight = None
         self.fences = []
         self.changes.clear()
+        self.offers = {}
         self.faulty = {}
         self.vc_gone = {}
         self.rounds = {}
@@ -626,16 +630,24 @@
         """Send a member what it lacks: the changes since what it has, or everything."""
         at = self.latest_for(p)
         core = p.role == 'core'
-        found = self.since(p.accepted, core) if p.accepted else None
         p.offered = self.now
+        # Why shared: most members lack the same, and it is written once for all of them.
+        key = (self.rep.accepted, at, core, p.accepted)
+        if key not in self.offers:
+            self.offers = {k: msg for k, msg in self.offers.items() if k[0] == self.rep.accepted}
+            self.offers[key] = self.publication(at, core, p.accepted)
+        msg = self.offers[key]
+        if 'full' in msg:
+            self.counts['full'] += 1
+        self.send(p.addr, msg, p.level >= 2)
+
+    def publication(self, at, core, base):
+        found = self.since(base, core) if base else None
         if found:
             # Why what lies between is told: it may have taken that meanwhile, and rows are whole values.
-            self.tell(p.addr, 'pub', term=self.term, at=at, base=p.accepted, via=found[1], rows=found[0],
-                      http=self.place.http)
-        else:
-            self.counts['full'] += 1
-            self.tell(p.addr, 'pub', term=self.term, at=at, full=self.rep.whole(routes=not core),
-                      http=self.place.http)
+            return self.frame('pub', term=self.term, at=at, base=base, via=found[1], rows=found[0],
+                              http=self.place.http)
+        return self.frame('pub', term=self.term, at=at, full=self.rep.whole(routes=not core), http=self.place.http)
 
     def m_pub_re(self, env):
         if env['term'] > self.term:
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import json
 import resource
 
 from absl import logging
@@ -28,7 +29,7 @@
 
 class Host:
 
-    def __init__(self, machine, reactor, disk=None, dialect=None, doors=()):
+    def __init__(self, machine, reactor, disk=None, dialect=None, doors=(), tell=0):
         self.dialect = dialect or dialect_.Plain()
         self.doors = [web.Door(self, addr) for addr in doors]
         self.front = None
@@ -47,14 +48,24 @@
         self.ended = False
         self.code = 0
         self.stats = collections.Counter()
+        # Seconds between two lines of figures in the log; 0 for none.
+        self.tell = tell
         machine.figures = self.figures
 
     def figures(self):
         """What only the host knows, for the status pages."""
         return {**self.stats, 'opened': self.fetcher.by_number.opened, 'asked': self.fetcher.asked, 'relayed_over': self.relay.opened, 'frames': self.links.sent_frames,
                 'bytes': self.links.sent_bytes, 'kinds': dict(self.links.sent_kinds),
+                'sent': dict(self.links.sent_no), 'got': dict(self.links.got_no), 'got_bytes': self.links.got_bytes,
                 'rss_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
 
+    def log_figures(self):
+        """One line: what this process has spent since its start."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        logging.info('%s: Figures %s.', self.machine.prefix, json.dumps({
+            'mode': self.machine.mode, 'cpu_ms': round(1000 * (used.ru_utime + used.ru_stime)),
+            'counts': dict(getattr(self.machine, 'counts', ())), **self.figures()}))
+
     def start(self):
         place = self.machine.place
         try:
@@ -74,6 +85,8 @@
                 task.LoopingCall.withCount(lambda n: self.front.sweep()).start(SWEEP, now=False)
         except Exception as e:
             raise faults.SettingFault(f'can not listen: {e}') from e
+        if self.tell:
+            task.LoopingCall.withCount(lambda n: self.log_figures()).start(self.tell, now=False)
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.shutdown)
         self.feed('start')
 
@@ -184,7 +197,7 @@
 
 
 RUNS = {
-    seam.Send: lambda host, e: host.links.send(e.addr, e.msg),
+    seam.Send: lambda host, e: host.links.send(e.addr, e.msg, e.packs),
     seam.Outcome: Host.answer,
     seam.Fetch: Host.fetch,
     seam.Close: Host.close_ends,
--- a/zinctrail/edge/main.py
+++ b/zinctrail/edge/main.py
@@ -33,6 +33,7 @@
     absl.flags.DEFINE_list('seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.', flag_values=flags)
     absl.flags.DEFINE_string('front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.', flag_values=flags)
     absl.flags.DEFINE_list('doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.', flag_values=flags)
+    absl.flags.DEFINE_integer('figures_s', 0, 'Seconds between two lines of figures in the log; 0 for none.', flag_values=flags)
     for f in dataclasses.fields(bounds.Bounds):
         if isinstance(f.default, datetime.timedelta):
             absl.flags.DEFINE_integer(f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.', flag_values=flags)
@@ -136,7 +137,7 @@
             raise faults.SettingFault(f'unknown words: {" ".join(rest)}')
         place, bound = read_place(), read_bounds()
         machine, disk = make(place, bound, random.SystemRandom())
-        h = host.Host(machine, twisted.internet.reactor, disk, dialect, FLAGS.doors)
+        h = host.Host(machine, twisted.internet.reactor, disk, dialect, FLAGS.doors, FLAGS.figures_s)
         # Why before the start: by default these signals end a process, and they may come at any moment.
         anew = Again(h, again or (lambda: argv))
         for s in (signal.SIGTERM, signal.SIGINT):
--- a/zinctrail/edge/wire.py
+++ b/zinctrail/edge/wire.py
@@ -3,15 +3,23 @@
 import collections
 import json
 import socket
+import zlib
 
 import twisted.internet.protocol as protocol
 import twisted.protocols.basic as basic
 from absl import logging
 
+import zinctrail.agree.frames as frames
+
 # Why: a partner that does not read must not fill our memory.
 WAITING_MOST = 1000
 
 
+# Why not smaller ones: what is saved would not pay for the work.
+PACK_FROM = 1024
+# Why: no JSON object begins like this, so a receiver can tell.
+PACKED = b'x'
+
 # Why: a partner behind a cut gives no answer, and TCP by itself would wait for minutes.
 SILENT_MS = 1200
 
@@ -26,6 +34,19 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
+def unpacked(data, most):
+    """The bytes of a packed frame; ValueError if it is broken, or larger than a frame may be."""
+    box = zlib.decompressobj()
+    try:
+        out = box.decompress(data, most + 1)
+    except zlib.error as e:
+        raise ValueError(str(e)) from e
+    # Why a bound: a few bytes may stand for more than memory holds.
+    if len(out) > most or not box.eof or box.unused_data:
+        raise ValueError('not whole, or above the bound')
+    return out
+
+
 class Frames(basic.NetstringReceiver):
     """Both ends; only the listening side is sent frames."""
 
@@ -41,7 +62,7 @@
 
     def stringReceived(self, data):
         try:
-            env = json.loads(data)
+            env = json.loads(unpacked(data, self.MAX_LENGTH) if data[:1] == PACKED else data)
             if not isinstance(env, dict):
                 raise ValueError('not an object')
         except (ValueError, RecursionError) as e:
@@ -51,6 +72,10 @@
             return
         if isinstance(env.get('a'), str):
             self.addr = env['a']
+        self.links.got_bytes += len(data)
+        # Why only known kinds: strangers must not be able to fill memory with names.
+        kind = env.get('t')
+        self.links.got_no[kind if isinstance(kind, str) and kind in frames.FRAMES else '?'] += 1
         self.links.on_frame(env)
 
     def connectionLost(self, reason=None):
@@ -106,9 +131,15 @@
         self.outs = {}
         self.open = set()
         self.closing = False
+        # The frames encoded last; each holds on to its message, so that no other can stand at its place.
+        self.fresh = collections.deque(maxlen=4)
         self.sent_frames = 0
         self.sent_bytes = 0
+        # Bytes sent, frames sent, frames got, by kind.
         self.sent_kinds = collections.Counter()
+        self.sent_no = collections.Counter()
+        self.got_no = collections.Counter()
+        self.got_bytes = 0
 
     def listen(self, addr):
         host, port = split(addr)
@@ -117,8 +148,19 @@
         factory.buildProtocol = lambda _: Frames(self)
         return self.reactor.listenTCP(port, factory, interface=host)
 
-    def send(self, addr, msg):
+    def encoded(self, msg, packs):
+        """The bytes of a frame, kept a while: a publication goes to many."""
+        for kept, packed, data in self.fresh:
+            if kept is msg and packed == packs:
+                return data
         data = json.dumps(msg, separators=(',', ':')).encode()
+        if packs and PACK_FROM < len(data) <= self.frame_most:
+            data = zlib.compress(data, 1)
+        self.fresh.append((msg, packs, data))
+        return data
+
+    def send(self, addr, msg, packs=False):
+        data = self.encoded(msg, packs)
         if len(data) > self.frame_most:
             # Why loud: a frame that can't be carried must not vanish.
             logging.error('wire: frame %s of %d bytes is above the bound of %d, not sent.',
@@ -127,6 +169,7 @@
         self.sent_frames += 1
         self.sent_bytes += len(data)
         self.sent_kinds[msg.get('t')] += len(data)
+        self.sent_no[msg.get('t')] += 1
         out = self.outs.get(addr)
         if out is None:
             out = self.outs[addr] = Out(self, addr)
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -27,8 +27,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Send:
+    """Send a frame; the same `msg` object to several is written once, so nobody changes it afterwards."""
     addr: str
     msg: dict
+    # Whether the receiver reads packed frames.
+    packs: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,8 +159,8 @@
     def alarm(self, name, delay):
         self.alarms[name] = self.now + delay
 
-    def send(self, addr, msg):
-        self.out.append(Send(addr, msg))
+    def send(self, addr, msg, packs=False):
+        self.out.append(Send(addr, msg, packs))
 
     def log(self, text):
         self.out.append(Log(f'{self.prefix}: {text}'))
