--- a/features/size.feature
+++ b/features/size.feature
@@ -23,3 +23,31 @@
     And the proxies speak the wire level before
     When the master publishes a change of the routes
     Then none of the frames for them may be packed
+
+  Scenario Outline: Members that only follow are checked more slowly the more there are
+    Given a master with <n> proxies that follow it
+    When 12 s go by
+    Then each proxy is checked about every <ms> ms
+    And none of them is without a lease for a moment
+    And grants of their own are <grants>
+    Examples:
+      | n  | ms  | grants         |
+      | 8  | 400 | sent           |
+      | 60 | 800 | no longer sent |
+      | 90 | 800 | no longer sent |
+
+  Scenario: A proxy among many that falls silent is missed, and the lease it had ends in time
+    Given a master with 60 proxies that follow it
+    When proxy 7 is silent from now on
+    Then within 3200 ms it is no member any more
+    And no lease that proxy 7 was given outlasts its last answer by more than 2400 ms
+
+  Scenario: A proxy among many that has not applied a change is granted nothing
+    Given a master with 60 proxies that follow it
+    When the routes change and proxy 7 never says that it applied them
+    Then no grant goes to proxy 7 from the change on
+
+  Scenario: A master that was started again counts its rounds anew, and old answers grant nothing
+    Given a proxy that follows b
+    When it answers check 7, and b leads again in the next term and grants check 7 without having asked
+    Then it has no lease from that
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -25,7 +25,7 @@
     rig = agree_steps.Rig(core.Core(agree_steps.place('a'), bounds.Bounds(), random.Random(1),
                                     agree_steps.files_of('a', ['a'], 1, (1, 1))))
     rig.feed('start')
-    rig.have = {}
+    rig.have, rig.grants, rig.checks, rig.stamps = {}, [], [], {}
     rig.run(2000)
     assert rig.m.mode == 'leader', rig.m.mode
     for i in range(1, proxies + 1):
@@ -35,11 +35,23 @@
     return rig
 
 
+def note(rig, i, msg):
+    """What proxy i was checked and granted; answers are stamped as a proxy would."""
+    if msg['t'] == 'chk':
+        rig.checks.append((rig.at, i))
+        rig.stamps.setdefault((i, msg['round']), rig.at)
+        if 'ack' in msg:
+            rig.grants.append((rig.at, i, rig.stamps[i, msg['ack']], True))
+    elif msg['t'] == 'grant':
+        rig.grants.append((rig.at, i, rig.stamps[i, msg['ack']], False))
+
+
 def run(rig, ms, silent=()):
     """Let time go on, with every proxy but the silent ones answering what it is sent."""
     def answer():
         for e in [e for e in rig.out if isinstance(e, seam.Send) and e.addr.startswith('10.1.')]:
             i, msg = int(e.addr.split(':')[0].split('.')[3]), e.msg
+            note(rig, i, msg)
             if i in silent:
                 continue
             if msg['t'] == 'pub':
@@ -131,3 +143,93 @@
         assert len(context.read) == 1 and len(context.read[0]['x']) == 5000
     else:
         assert not context.read and context.transport.disconnecting
+
+
+@behave.given('a master with {n:d} proxies that follow it')
+def _(context, n):
+    context.n = n
+    context.rig = master(n, 2)
+    run(context.rig, 3000)
+
+
+@behave.when('{s:d} s go by')
+def _(context, s):
+    context.since = context.rig.at
+    context.rig.checks, context.rig.grants = [], []
+    run(context.rig, 1000 * s)
+
+
+@behave.then('each proxy is checked about every {ms:d} ms')
+def _(context, ms):
+    rig = context.rig
+    for i in range(1, context.n + 1):
+        n = sum(1 for _, j in rig.checks if j == i)
+        span = seam.to_ms(rig.at - context.since)
+        assert abs(n - span / ms) <= 1.5, (i, n, span / ms)
+
+
+@behave.then('none of them is without a lease for a moment')
+def _(context):
+    rig = context.rig
+    for i in range(1, context.n + 1):
+        until = None
+        for at, j, stamp, _ in rig.grants:
+            if j == i:
+                assert until is None or at < until, (i, at, until)
+                until = max(until or seam.ZERO, stamp + rig.m.bounds.lease)
+        assert until > rig.at, (i, until)
+
+
+@behave.then('grants of their own are {what}')
+def _(context, what):
+    own = sum(1 for g in context.rig.grants if not g[3])
+    assert (own > 0) == (what == 'sent'), own
+
+
+@behave.when('proxy {i:d} is silent from now on')
+def _(context, i):
+    context.since = context.rig.at
+    context.i = i
+
+
+@behave.then('within {ms:d} ms it is no member any more')
+def _(context, ms):
+    run(context.rig, ms, silent={context.i})
+    members = context.rig.m.rep.get('members')
+    assert f'p{context.i}' not in members and len(members) == context.n, len(members)
+
+
+@behave.then('no lease that proxy {i:d} was given outlasts its last answer by more than {ms:d} ms')
+def _(context, i, ms):
+    last = max(at for at, j in context.rig.checks if j == i and at <= context.since)
+    assert all(stamp <= last for _, j, stamp, _ in context.rig.grants if j == i)
+
+
+@behave.when('the routes change and proxy {i:d} never says that it applied them')
+def _(context, i):
+    rig = context.rig
+    context.i, context.since = i, rig.at
+    rig.m.submit(lambda txn: txn.put('cells', 'r0/c9', {'labels': {}}) or {'status': 200}, lambda res: None)
+    rig.feed('wake')
+    rig.grants = []
+    run(rig, 6000, silent={i})
+
+
+@behave.then('no grant goes to proxy {i:d} from the change on')
+def _(context, i):
+    assert any(j != i for _, j, _, _ in context.rig.grants)
+    assert not [g for g in context.rig.grants if g[1] == i and g[0] > context.since + seam.ms(1)], context.rig.grants
+
+
+@behave.when('it answers check 7, and b leads again in the next term and grants check 7 without having asked')
+def _(context):
+    rig = context.rig
+    rig.recv('b', 'chk', to=rig.m.node, term=rig.m.term, round=7)
+    rig.at += seam.ms(100)
+    rig.recv('b', 'chk', to=rig.m.node, term=rig.m.term + 1, round=1)
+    rig.recv('b', 'grant', term=rig.m.term, ack=7)
+
+
+@behave.then('it has no lease from that')
+def _(context):
+    assert not context.rig.m.leased()
--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -95,7 +95,7 @@
     'probe_re': dict(view, member=member, term=count, master=maybe(master), partners=many(partner),
                      seeds=many(text)),
     'join': {'member': member, 'accepted': pair, 'term': count},
-    'chk': {'to': text, 'term': count, 'round': count},
+    'chk': {'to': text, 'term': count, 'round': count, 'ack_': count, 'pace_ms_': count},
     'chk_re': {'term': count, 'round': count, 'no_': flag, 'accepted_': pair, 'committed_': pair, 'beats_': many(text)},
     'grant': {'term': count, 'ack': count},
     'pub': {'term': count, 'at': pair, 'base_': maybe(pair), 'via_': many(pair), 'rows_': many(row),
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -78,6 +78,8 @@
         self.bad_frames = 0
         self.acks = collections.OrderedDict()
         self.lease_until = None
+        # How far apart our checks are, as the master told.
+        self.pace_told = seam.ZERO
         self.stopping = False
         self.finds = 0
         self.asks = {}
@@ -272,11 +274,13 @@
     def raise_term(self, term, vote=None):
         self.term = term
 
-    def follow(self, env):
+    def follow(self, env, pace=None):
         """Whether the sender is master of a term that is not behind ours."""
         if env['term'] < self.term:
             return False
         if env['term'] > self.term:
+            # Why forgotten: a master that was started again counts its rounds from the beginning.
+            self.acks.clear()
             self.raise_term(env['term'], env['f'])
         if not self.master or self.master['id'] != env['f'] or self.mode != 'follower':
             self.mode = 'follower'
@@ -284,7 +288,9 @@
             self.acks.clear()
             self.log(f'Follows {env["f"]} in term {self.term}.')
             self.followed()
-        self.alarm('lead', self.bounds.check * self.bounds.misses)
+        if pace is not None:
+            self.pace_told = pace
+        self.alarm('lead', max(self.pace_told, self.bounds.check) * self.bounds.misses)
         return True
 
     def followed(self):
@@ -296,11 +302,16 @@
             if self.can_join() and env['term'] >= self.term:
                 self.join(env['a'])
             return
-        if not self.follow(env):
+        # Why bounded: whatever a frame says, we look for a master while we still may have a lease.
+        pace = seam.ms(min(env.get('pace_ms', 0), seam.to_ms(self.bounds.lease / 3)))
+        if not self.follow(env, pace):
             self.tell(env['a'], 'chk_re', term=self.term, round=env['round'], no=True)
             return
         # Why kept: a lease is counted from our own stamp, so a grant late on the wire can't stretch it.
-        self.acks[env['round']] = self.now
+        # Why the first: an answer may have gone out then, and a lease rests on what was true before it.
+        self.acks.setdefault(env['round'], self.now)
+        if 'ack' in env:
+            self.granted(env['ack'])
         while len(self.acks) > 32:
             self.acks.popitem(last=False)
         self.tell(env['a'], 'chk_re', term=self.term, round=env['round'],
@@ -311,8 +322,12 @@
         return {}
 
     def m_grant(self, env):
-        at = self.acks.get(env['ack'])
-        if env['term'] == self.term and self.master and self.master['id'] == env['f'] and at is not None:
+        if env['term'] == self.term and self.master and self.master['id'] == env['f']:
+            self.granted(env['ack'])
+
+    def granted(self, ack):
+        at = self.acks.get(ack)
+        if at is not None:
             until = at + self.bounds.lease
             if self.lease_until is None or until > self.lease_until:
                 self.lease_until = until
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -90,6 +90,11 @@
         self.acked = 0
         self.ack_at = now
         self.offered = seam.ZERO
+        # When it was last sent a check.
+        self.checked = seam.ZERO
+        # The newest answer of its that a lease may rest on; when it was last granted one.
+        self.good = 0
+        self.granted = None
 
 
 class Voter(partner.Partner):
@@ -697,8 +702,8 @@
 
     def check_acks(self):
         f = self.flight
-        fresh = self.now - self.bounds.check * 2
-        if f and f['done'] and all(n in f['acks'] for n, p in self.peers.items() if p.ack_at >= fresh):
+        if f and f['done'] and all(n in f['acks'] for n, p in self.peers.items()
+                                   if p.ack_at >= self.now - self.pace(p) * 2):
             self.flown()
 
     def alarm_ack(self):
@@ -738,14 +743,37 @@
         if self.now - self.quorum_at > self.bounds.check * self.bounds.misses:
             self.step_down('no quorum answers')
             return
-        limit = self.now - self.bounds.check * self.bounds.misses
-        for p in [p for p in self.peers.values() if p.ack_at < limit]:
+        for p in [p for p in self.peers.values() if p.ack_at < self.now - self.pace(p) * self.bounds.misses]:
             self.fault_member(p, 'silent')
         self.tick_master()
 
     def tick_master(self):
         """For the role, once a check round."""
 
+    def pace(self, p):
+        """How far apart a member's checks are: voters keep the fastest, many that only follow go slower."""
+        if p.role == 'core' or p.level < 2:
+            return self.bounds.check
+        # Why a fourth of the lease at most: two checks go by before a lease is made anew, and one may be missed.
+        return min(max(self.bounds.check, self.bounds.check * (len(self.peers) / self.bounds.herd)),
+                   max(self.bounds.check, self.bounds.lease / 4))
+
+    def check_member(self, p):
+        p.checked = self.now
+        # Why told: it may be silent for no longer before the member looks for another master.
+        more = {'pace_ms': seam.to_ms(self.pace(p))} if p.role != 'core' else {}
+        if self.folds(p) and p.good and self.up_to_date(p):
+            more['ack'] = p.good
+            p.granted = self.now
+        self.tell(p.addr, 'chk', term=self.term, to=p.node, round=self.round, http=self.place.http, **more)
+
+    def folds(self, p):
+        """Whether its grants go with its checks, a frame less a round."""
+        # Why only at a slower pace: at the fastest, what the last check proved is not known at the next.
+        # Why not after a gap: it may have no lease yet, or soon none.
+        pace = self.pace(p)
+        return pace > self.bounds.check and p.granted is not None and self.now - p.granted < pace * 1.5
+
     def start_round(self, everyone):
         self.round += 1
         # Why who was heard is noted now: a lease may only rest on answers from before the round began.
@@ -754,8 +782,9 @@
         for q in [q for q in self.rounds if q < self.round - 20]:
             del self.rounds[q]
         for p in self.peers.values():
-            if everyone or p.role == 'core':
-                self.tell(p.addr, 'chk', term=self.term, to=p.node, round=self.round, http=self.place.http)
+            # Why nearly: rounds come a little late, and must not be missed for that.
+            if p.role == 'core' or everyone and self.now - p.checked >= self.pace(p) - self.bounds.check / 4:
+                self.check_member(p)
         self.round_answered(self.round)
 
     def m_chk_re(self, env):
@@ -793,11 +822,12 @@
         self.quorum_round = q
         self.quorum_at = max(self.quorum_at, r['start'])
         # Why none before our first generation: what we lead from may be behind.
-        if r['everyone'] and self.rep.committed[0] == self.term:
+        if self.rep.committed[0] == self.term:
             for n, p in self.peers.items():
-                ack = r['heard'].get(n)
-                if ack and self.up_to_date(p):
-                    self.tell(p.addr, 'grant', term=self.term, ack=ack)
+                p.good = max(p.good, r['heard'].get(n) or 0)
+                if r['everyone'] and p.good and not self.folds(p) and self.up_to_date(p):
+                    p.granted = self.now
+                    self.tell(p.addr, 'grant', term=self.term, ack=p.good)
         ready = [cb for need, cb in self.fences if need <= q]
         self.fences = [(need, cb) for need, cb in self.fences if need > q]
         for cb in ready:
@@ -833,7 +863,7 @@
             if p:
                 if p.accepted != self.latest_for(p):
                     self.offer(p)
-                self.tell(p.addr, 'chk', term=self.term, to=p.node, round=self.round, http=self.place.http)
+                self.check_member(p)
 
     def add_peer(self, node, row):
         if node == self.node or node in self.peers:
--- a/zinctrail/bounds.py
+++ b/zinctrail/bounds.py
@@ -16,6 +16,8 @@
 class Bounds:
     check: datetime.timedelta = ms(400)
     misses: int = 3
+    # How many members the master checks at the fastest pace; beyond, those that only follow go slower.
+    herd: int = 40
     probe: datetime.timedelta = ms(400)
     # How long a node may be out of touch before nothing it does may rest on what it knew.
     touch: datetime.timedelta = ms(3000)
--- a/zinctrail/fleet.py
+++ b/zinctrail/fleet.py
@@ -27,6 +27,9 @@
 PRESETS = {
     'small': {'regions': 3, 'cells': 1, 'cores': 3, 'proxies': 3, 'dirs': 3, 'rate': 20, 'calls': 2,
               'services': {'catalog': 3, 'loans': 3}, 'once': ['loans']},
+    # Checked at the slower pace of many members, though it has few.
+    'many': {'regions': 3, 'cells': 1, 'cores': 3, 'proxies': 6, 'dirs': 3, 'rate': 20, 'calls': 2, 'herd': 3,
+             'services': {'catalog': 3, 'loans': 3}, 'once': ['loans']},
     'accra': {'regions': 3, 'cells': 2, 'cores': 6, 'proxies': 9, 'dirs': 6, 'rate': 390, 'calls': 50,
               'services': {'catalog': 12, 'loans': 12, 'sync': 12, 'holds': 12}, 'once': ['loans', 'holds']},
     'ukks': {'regions': 3, 'cells': 2, 'cores': 6, 'proxies': 12, 'dirs': 6, 'rate': 345, 'calls': 40,
--- a/zinctrail/sim/days.py
+++ b/zinctrail/sim/days.py
@@ -10,6 +10,7 @@
 import random
 import sys
 
+import zinctrail.bounds as bounds
 import zinctrail.fleet as fleet
 import zinctrail.seam as seam
 import zinctrail.sim.cast as cast
@@ -34,8 +35,10 @@
                  rate=None, wild=0.1, plain=None, drift=None):
         self.seed, self.names, self.length, self.coord = seed, list(names), length, coord
         self.shape_name = shape
-        self.world = world.World(seed, bound, trace)
         self.shape = fleet.PRESETS[shape]
+        if bound is None and 'herd' in self.shape:
+            bound = bounds.Bounds(herd=self.shape['herd'])
+        self.world = world.World(seed, bound, trace)
         self.rate = rate
         self.wild = wild
         mix = random.Random(f'mix/{seed}')
@@ -843,7 +846,7 @@
         print(__doc__.strip())
         print('\n  --search=N   N seeds of random faults from --seed on, --at-once=8 of them at a time'
           '\n  --shrink     the fewest of --faults that still bring about what they do'
-              '\n  --shape=small|accra|ukks  --seconds=N  --rate=N  --trace'
+              '\n  --shape=small|many|accra|ukks  --seconds=N  --rate=N  --trace'
               f'\n\nFaults: {", ".join(FAULTS)}')
         return 0
     if 'search' in opts:
