Open traffic: hedged, quicker and sounder endpoints first, a moment's wait for a lease

Now: a repeatable request whose endpoint is silent for 0.6 of its aim goes to another one beside it, within attempts and the shared bound; the first whole answer counts. Endpoints cost by their usual time over their pool's and by what failed lately; two failures in a row, and they are taken only where there is no other. A request waits 0.1 s for a lease; refusals name a third of the time left; rank decides who gets room; a caller who hung up while waiting is forgotten. Another region costs 0.75 of a full load (0.6 before). Tests: open.feature.

--- a/features/open.feature
+++ b/features/open.feature
@@ -116,3 +116,71 @@
       | 9  | 4    | 6.7   | 20   | a third of the proxies goes|
       | 1  | 2    | 7.3   | 40   | nothing else happens       |
       | 30 | 3    | 2     | 5    | nothing else happens       |
+
+  Scenario: A silent endpoint is not waited for alone, and the first whole answer counts
+    Given a proxy for open traffic with 2 endpoints
+    When a request comes 0 s later
+    And 700 ms go by without an answer
+    Then it was sent to both endpoints
+    When the second answers
+    Then its caller gets that answer
+    When the first answers
+    Then it is answered once, and no work is counted at either
+
+  Scenario Outline: What is sent a second time, and what is not
+    Given a proxy for open traffic with 3 endpoints, whose rule says <rule>
+    When a request comes 0 s later
+    And its endpoint <does>
+    Then it is sent <n> times, and its caller is told <told>
+    Examples:
+      | rule                  | does                                  | n | told |
+      | once                  | stays silent for most of the aim      | 1 | none |
+      | once                  | cuts its answer off                   | 1 | 502  |
+      | once                  | answers to another                    | 1 | 502  |
+      | once                  | answers 500                           | 1 | 500  |
+      | once                  | answers 503 as not run                | 2 | none |
+      | once                  | answers 421                           | 2 | none |
+      | once                  | can not be reached                    | 2 | none |
+      | often                 | cuts its answer off                   | 2 | none |
+      | often                 | answers to another                    | 2 | none |
+      | often                 | answers 500                           | 2 | none |
+      | often, one attempt    | answers 500                           | 1 | 500  |
+      | often, one attempt    | stays silent for most of the aim      | 1 | none |
+      | often, one attempt    | answers 503 as not run                | 1 | 503  |
+      | often                 | answers 200 without a stamp           | 2 | none |
+      | once                  | answers 200 without a stamp           | 1 | 502  |
+      | once                  | answers in an encoding                | 1 | 502  |
+
+  Scenario: An endpoint that fails twice in a row is passed over while there are others
+    Given a proxy for open traffic with 2 endpoints, whose rule says once
+    When endpoint e0 cuts its answers off
+    Then after a while only e1 is sent to
+    When endpoint e1 is taken away
+    Then e0 is sent to again
+
+  Scenario: A slow endpoint gets less
+    Given a proxy for open traffic with 2 endpoints
+    When e0 takes 300 ms and e1 takes 100 ms, and 200 requests come, 50 ms apart
+    Then e1 is sent more than twice as many as e0
+
+  Scenario: Without a lease a request waits a moment, and is then told when to come back
+    Given a proxy for open traffic with 1 endpoints
+    When the lease runs out
+    And a request comes 0 s later
+    Then after 90 ms nothing is told, and after 140 ms it is refused with a third of its time
+    When a request comes 0 s later
+    And the lease comes back 50 ms later
+    Then the request is sent
+
+  Scenario: Who waits for room is served by rank
+    Given a proxy for open traffic with 1 endpoints
+    When the endpoint is full, and requests of rank 2, 0 and 1 wait
+    And the endpoint has room again for one
+    Then the one of rank 0 is sent
+
+  Scenario: A caller that goes away while its request waits is forgotten
+    Given a proxy for open traffic with 1 endpoints
+    When the endpoint is full, and requests of rank 2, 0 and 1 wait
+    And their callers hang up
+    And the endpoint has room again for one
+    Then none of them is sent
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -552,3 +552,189 @@
     for inc, times in context.by_inc.items():
         span = (max(times) - ms(60000)) / ms(1000)
         assert span > 5 and len(times) >= share * context.bears * span, (inc, len(times), span)
+
+
+# -- sending again -----------------------------------------------------------------
+
+@behave.when('{n:d} ms go by without an answer')
+def _(context, n):
+    context.b.go(n)
+
+
+@behave.then('it was sent to both endpoints')
+def _(context):
+    assert sorted(e.inc for e in context.b.fetches()) == ['e0', 'e1']
+
+
+@behave.when('the {which} answers')
+def _(context, which):
+    context.b.reply(context.b.fetches()[0 if which == 'first' else 1])
+
+
+@behave.then('its caller gets that answer')
+def _(context):
+    assert context.b.outcome(context.rid).status == 200
+
+
+@behave.then('it is answered once, and no work is counted at either')
+def _(context):
+    b = context.b
+    assert sum(isinstance(e, seam.Outcome) for e in b.effects) == 1
+    assert [end.use for end in b.p.ends.values()] == [0, 0] and not b.p.open_fetches
+
+
+RULES = {'once': {'once': True}, 'often': {}, 'often, one attempt': {'attempts': 1}}
+
+
+@behave.given('a proxy for open traffic with {n:d} endpoints, whose rule says {rule}')
+def _(context, n, rule):
+    context.b = Bench(n, rule=RULES[rule])
+
+
+DOES = {
+    'cuts its answer off': dict(fault='reply cut short'),
+    'answers to another': dict(zt_id='other'),
+    'answers 500': dict(status=500),
+    'answers 503 as not run': dict(status=503, zt_not_run='1'),
+    'answers 421': dict(status=421),
+    'can not be reached': dict(sent=False, fault='refused'),
+    'answers 200 without a stamp': dict(status=200),
+    'answers in an encoding': dict(content_encoding='gzip'),
+}
+
+
+@behave.when('its endpoint {does}')
+def _(context, does):
+    b = context.b
+    if does.startswith('stays silent'):
+        b.go(900)
+        return
+    fetch = b.fetches()[0]
+    b.reply(fetch, **DOES[does]) if 'stamp' not in does else b.feed(
+        'fetched', fetch.fid, seam.Fetched(200, {'zt-id': fetch.headers['zt-id']}, b'x'))
+
+
+@behave.then('it is sent {n:d} times, and its caller is told {told}')
+def _(context, n, told):
+    out = context.b.outcome(context.rid)
+    assert len(context.b.fetches()) == n, context.b.fetches()
+    assert (str(out.status) if out else 'none') == told, out
+    if told == '502':
+        assert 'retry-after' not in out.headers
+
+
+@behave.when('endpoint e0 cuts its answers off')
+def _(context):
+    b = context.b
+    for _ in range(30):
+        # Why several at once: one at a time would all go to the other after the first failure.
+        for _ in range(6):
+            b.request()
+        for e in b.fetches():
+            b.reply(e, **(dict(fault='reply cut short') if e.inc == 'e0' else {}))
+        b.effects.clear()
+        b.go(20)
+    b.sent.clear()
+
+
+@behave.then('after a while only {inc} is sent to')
+def _(context, inc):
+    for _ in range(4):
+        context.b.request()
+    assert [i for _, i in context.b.sent] == [inc] * 4, context.b.sent
+
+
+@behave.when('endpoint e1 is taken away')
+def _(context):
+    context.b.put([['endpoints', 'e1', None]])
+    context.b.sent.clear()
+    context.b.request()
+
+
+@behave.then('e0 is sent to again')
+def _(context):
+    assert [i for _, i in context.b.sent] == ['e0']
+
+
+@behave.when('e0 takes {a:d} ms and e1 takes {z:d} ms, and {n:d} requests come, {gap:d} ms apart')
+def _(context, a, z, n, gap):
+    b, owed = context.b, []
+    for _ in range(n):
+        b.request()
+        owed += [(b.now + ms(a if e.inc == 'e0' else z), e) for e in b.fetches()]
+        b.effects.clear()
+        until = b.now + ms(gap)
+        for at, e in sorted(owed, key=lambda o: o[0]):
+            if at <= until:
+                b.now = max(b.now, at)
+                b.reply(e)
+        owed = [o for o in owed if o[0] > until]
+        b.go(0)
+        b.now = until
+
+
+@behave.then('e1 is sent more than twice as many as e0')
+def _(context):
+    sent = [i for _, i in context.b.sent]
+    assert sent.count('e1') > 2 * sent.count('e0') > 0, (sent.count('e1'), sent.count('e0'))
+
+
+@behave.when('the lease runs out')
+def _(context):
+    context.b.p.lease_until = context.b.now
+
+
+@behave.then('after 90 ms nothing is told, and after 140 ms it is refused with a third of its time')
+def _(context):
+    b = context.b
+    b.go(90)
+    assert b.outcome(context.rid) is None
+    b.go(50)
+    out = b.outcome(context.rid)
+    assert out.status == 503 and 0.6 < float(out.headers['retry-after']) < 0.65, out
+
+
+@behave.when('the lease comes back {n:d} ms later')
+def _(context, n):
+    context.b.go(n)
+    context.b.p.lease_until = ms(10 ** 9)
+    context.b.go(30)
+
+
+@behave.then('the request is sent')
+def _(context):
+    assert len(context.b.fetches()) == 1
+
+
+@behave.when('the endpoint is full, and requests of rank 2, 0 and 1 wait')
+def _(context):
+    b = context.b
+    b.put([['items', f'rules/r{n}', {'v': 1, 'row': dict(b.rule, name=f'r{n}', host=f'h{n}', rank=n)}] for n in range(3)])
+    for _ in range(6):
+        b.request()
+    context.full = b.fetches()
+    context.waiting = {n: b.request(host=f'h{n}') for n in (2, 0, 1)}
+    assert len(b.fetches()) == len(context.full) == 6
+    b.effects.clear()
+
+
+@behave.when('their callers hang up')
+def _(context):
+    for rid in context.waiting.values():
+        context.b.feed('hung_up', rid)
+
+
+@behave.when('the endpoint has room again for one')
+def _(context):
+    context.b.reply(context.full[0])
+
+
+@behave.then('the one of rank 0 is sent')
+def _(context):
+    assert [e.headers['host'] for e in context.b.fetches()] == ['h0']
+
+
+@behave.then('none of them is sent')
+def _(context):
+    context.b.go(500)
+    assert not context.b.fetches()
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -22,7 +22,7 @@
        'content-length', 'expect', 'zt-left-ms', 'zt-inc')
 # How much worse an endpoint is for standing in another cell, or another region, as shares of a full load.
 FAR_CELL = 0.12
-FAR_REGION = 0.6
+FAR_REGION = 0.75
 # What an endpoint may be given beyond its slots, as a share of them: it queues a few.
 OVER = 1.5
 # How many connections one endpoint may be held by where nobody tells.
@@ -30,8 +30,17 @@
 # Why: what an endpoint said of its load says little after a while.
 LOAD_OLD = seam.ms(1500)
 REST = seam.ms(1000)
+# How long a request waits for a lease, and how often what waits is looked at.
+LEASE_WAIT = seam.ms(100)
+LOOK = seam.ms(20)
+# The share of its aim after which a silent endpoint is no longer waited for alone.
+HEDGE = 0.6
+HEDGE_LOOK = seam.ms(25)
 # How many proxies may send to a cold endpoint, as a multiple of the requests a second that it bears.
 COLD_SENDERS = 1.5
+# The weight of one more answer in what is kept of an endpoint's answers, and when a bad one is forgotten.
+SMOOTH = 0.15
+BAD_OLD = seam.ms(8000)
 LONG_AGO = seam.ms(-3600000)
 
 
@@ -45,6 +54,11 @@
         self.seen_use = 0
         self.rest_until = seam.ZERO
         self.fails = 0
+        # Until when it is only taken where there is no other; how often lately, and when last, it failed; its usual time.
+        self.wary_until = seam.ZERO
+        self.bad = 0.0
+        self.bad_at = seam.ZERO
+        self.took = 0.0
         # Why kept while it is warm too: it may be cold the next moment.
         self.sent_at = LONG_AGO
 
@@ -55,11 +69,38 @@
         return self.use + max(0, self.seen - self.seen_use) * (1 - (now - self.seen_at) / LOAD_OLD)
 
 
+    def slowness(self, usual):
+        """Its usual time over that of its pool, within bounds."""
+        return min(3.0, max(0.6, self.took / usual)) if self.took and usual else 1.0
+
+    def badness(self, now):
+        """The share of its last few answers that were none, fading."""
+        return self.bad * max(0.0, 1 - (now - self.bad_at) / BAD_OLD)
+
+    def told(self, now, bad, took):
+        self.bad = self.badness(now) + ((1.0 if bad else 0.0) - self.badness(now)) * SMOOTH
+        self.bad_at = now
+        if bad:
+            self.fails += 1
+            if self.fails > 1:
+                # Why the second time: one lost answer is chance, two in a row are an endpoint in trouble.
+                self.wary_until = now + REST * min(4, self.fails - 1)
+        else:
+            self.fails = 0
+            self.took += (took - self.took) * SMOOTH if self.took else took
+
+
 def a_pass(fn):
     PASSES.append(fn)
     return fn
 
 
+def come_back(prox, rec):
+    """Milliseconds until another attempt: callers wait a third of their time for one, and most troubles need that."""
+    left = seam.to_ms(rec.until - prox.now) if rec.until else 900
+    return min(1000, max(50, left // 3))
+
+
 @a_pass
 def accept(prox, rec):
     h = rec.call.headers
@@ -75,9 +116,13 @@
         # Why refused: it would still be at work when the process has to end.
         raise passes.Drop(503, 'leaving', retry_ms=50)
     if len(prox.table) > prox.bounds.queue_most:
-        raise passes.Drop(503, 'busy', retry_ms=300)
+        raise passes.Drop(503, 'busy', retry_ms=come_back(prox, rec))
     if not prox.leased():
-        raise passes.Drop(503, 'no lease on the state', retry_ms=200)
+        if prox.now >= rec.came + LEASE_WAIT:
+            raise passes.Drop(503, 'no lease on the state', retry_ms=come_back(prox, rec))
+        # Why a moment: a master that is being replaced is back in little more.
+        prox.queue_open(rec, rec.came + LEASE_WAIT)
+        return passes.WAIT
     return passes.GO
 
 
@@ -106,11 +151,14 @@
     if rec.sends:
         # Why before the choice: what may not be sent again need not wait for room.
         prox.may_repeat(rec)
+    if not prox.leased():
+        # Why again: it may have waited, or been sent before, and what we know may have changed since.
+        raise passes.Drop(503, 'no lease on the state', retry_ms=come_back(prox, rec))
     inc = prox.pick_open(rec)
     if inc is None:
         if prox.now >= rec.patience or rec.sends or not prox.could_serve(rec):
-            raise passes.Drop(503, 'no endpoint can take this now', retry_ms=150)
-        prox.queue_open(rec)
+            raise passes.Drop(503, 'no endpoint can take this now', retry_ms=come_back(prox, rec))
+        prox.queue_open(rec, rec.patience)
         return passes.WAIT
     rec.inc = inc
     return passes.GO
@@ -163,7 +211,8 @@
         if rec.once:
             raise lost
         return prox.again_open(rec, lost)
-    if res.status >= 500 and not rec.once and prox.more(rec):
+    if res.status >= 500 and not rec.once:
+        rec.maybe = True
         return prox.again_open(rec, None)
     return passes.GO
 
@@ -185,6 +234,8 @@
         self.open_fetches = {}
         self.waiting = collections.deque()
         self.limits = seam.Limits()
+        # What a pool's requests usually take, in milliseconds.
+        self.usual = {}
         # {incarnation: (whether we may send to it, how seldom)}, and which were cold in the last view.
         self.cold_turns = {}
         self.cold_seen = {}
@@ -254,10 +305,11 @@
         return max(1, limit // max(1, len(self.routes.members('prox')))) if limit else CONNECTIONS
 
     def pick_open(self, rec):
-        """The endpoint that costs least: near, and with room."""
-        best, least = None, None
+        """The endpoint that costs least: near, quick, with room, and not failing lately."""
+        best, least, wary, wary_least = None, None, None, None
         most = self.connections(rec.pool)
         here, region = self.place.cell, self.routes.region(self.place.cell)
+        usual = self.usual.get(rec.pool, 0.0)
         for inc in self.routes.open_pool(rec.pool):
             row = self.routes.end(inc)
             if inc in rec.tried or not self.routes.usable(inc):
@@ -271,11 +323,17 @@
             load = end.load(self.now) / row['slots']
             if load >= OVER or end.use >= most:
                 continue
-            cost = load + (FAR_REGION if there != region else FAR_CELL if row['cell'] != here else 0)
+            # Why not zero when idle: among idle ones the quicker is the better one too.
+            cost = (load + 0.25) * end.slowness(usual) + end.badness(self.now)
+            cost += FAR_REGION if there != region else FAR_CELL if row['cell'] != here else 0
             cost += self.rng.random() * 0.05
-            if least is None or cost < least:
+            if end.wary_until > self.now:
+                if wary_least is None or cost < wary_least:
+                    wary, wary_least = inc, cost
+            elif least is None or cost < least:
                 best, least = inc, cost
-        return best
+        # Why at all: where every endpoint failed lately, the least bad one still may not.
+        return best or wary
 
     def could_serve(self, rec):
         """Whether the pool has endpoints at all that may get it from us."""
@@ -286,17 +344,19 @@
                 return True
         return False
 
-    def queue_open(self, rec):
+    def queue_open(self, rec, until):
+        """Look at a record again until then."""
         rec.parked = 'room'
         self.waiting.append(rec)
-        self.alarm_at('room', min(rec.patience, self.now + seam.ms(20)))
+        self.alarm_at('room', min(until, self.now + LOOK))
 
     def alarm_room(self):
         waiting, self.waiting = self.waiting, collections.deque()
-        for rec in waiting:
+        # Why by rank: what room there is goes to the traffic that matters most; within a rank, to who came first.
+        for rec in sorted(waiting, key=lambda r: r.rule.get('rank', 0) if r.rule else 0):
             if rec.rid in self.table and rec.parked == 'room':
-                # Why from the choice on: it looks again, and gives up once the patience is over.
-                self.resume(rec, choose)
+                # Why the same pass again: it looks anew, and gives up once the patience is over.
+                self.run(rec)
 
     def dispatch_open(self, rec):
         row = self.routes.end(rec.inc)
@@ -305,7 +365,11 @@
         end.sent_at = self.now
         rec.sends += 1
         rec.fid = self.count()
-        self.open_fetches[rec.fid] = (rec, rec.inc)
+        rec.live[rec.fid] = rec.inc
+        self.open_fetches[rec.fid] = (rec, rec.inc, self.now)
+        if not rec.once and self.more(rec):
+            rec.hedge_at = max(self.now, rec.came) + (rec.aim - rec.came) * HEDGE
+            self.alarm_at('hedge', rec.hedge_at)
         left = rec.until - self.now
         headers = {k: v for k, v in rec.call.headers.items() if k not in HOP}
         headers['zt-inc'] = rec.inc
@@ -315,24 +379,62 @@
                                    left + seam.ms(20), plain=True, once=rec.once))
 
     def open_fetched(self, fid, res):
-        rec, inc = self.open_fetches.pop(fid)
+        rec, inc, at = self.open_fetches.pop(fid)
         end = self.ends.get(inc)
         if end is not None:
             end.use -= 1
             self.note_load(end, res)
-        if rec.rid in self.table and rec.fid == fid:
-            rec.res = res
-            self.resume(rec)
+            self.note_answer(rec, end, res, seam.to_ms(self.now - at))
+        rec.live.pop(fid, None)
+        if rec.rid in self.table:
+            rec.res, rec.inc, rec.fid = res, inc, fid
+            self.resume(rec, check)
         if self.waiting:
             self.alarm_room()
 
+    def alarm_hedge(self):
+        """Send once more, elsewhere, what was silent for most of its aim: the first whole answer counts."""
+        due, later = [], []
+        for rec in self.table.values():
+            if rec.hedge_at is not None and rec.live:
+                (due if rec.hedge_at <= self.now else later).append(rec)
+        for rec in due:
+            rec.hedge_at = None
+            self.hedge(rec)
+        if later:
+            # Why not more often: a few milliseconds matter less than waking for each.
+            self.alarm_at('hedge', max(self.now + HEDGE_LOOK, min(r.hedge_at for r in later)))
+
+    def hedge(self, rec):
+        if not self.more(rec) or not self.leased():
+            return
+        rec.tried.update(rec.live.values())
+        try:
+            window = self.may_repeat(rec)
+        except passes.Drop:
+            return
+        inc = self.pick_open(rec)
+        if inc is None:
+            return
+        window.repeat(self.now)
+        self.counts['hedges'] += 1
+        rec.inc, rec.repeats = inc, True
+        self.dispatch_open(rec)
+
     def note_load(self, end, res):
         parts = res.headers.get('zt-load', '').split(',')
         if len(parts) == 3 and all(seam.is_whole(p.strip()) for p in parts):
             # Why one less: the request that this answers is over now.
             end.seen, end.seen_use, end.seen_at = max(0, int(parts[0]) - 1) + int(parts[1]), end.use, self.now
-        if not res.fault:
-            end.fails = 0
+
+    def note_answer(self, rec, end, res, took):
+        if not res.sent or 'zt-not-run' in res.headers or res.status == 421:
+            return
+        bad = bool(fault_of(rec, res)) or res.status >= 500
+        end.told(self.now, bad, took)
+        if not bad:
+            usual = self.usual.get(rec.pool, 0.0)
+            self.usual[rec.pool] = usual + (took - usual) * SMOOTH if usual else float(took)
 
     def rest(self, inc):
         """Leave an endpoint alone for a while, longer each time."""
@@ -349,6 +451,10 @@
         """Another try of ours where rule, time and the shared bound allow one; else the drop, or what we have."""
         rec.tried.add(rec.inc)
         rec.repeats = rec.sends > 0
+        if rec.live:
+            # Why waited for: it was sent elsewhere too, and that answer is still to come.
+            rec.at = rec.passes.index(check)
+            return passes.WAIT
         if self.more(rec):
             try:
                 if rec.sends:
@@ -366,7 +472,7 @@
     def open_late(self, rec):
         if rec.parked == 'room' and not rec.maybe:
             self.drop(rec, passes.Drop(504, 'no time left'))
-        elif rec.fid in self.open_fetches:
+        elif rec.live:
             self.drop(rec, passes.Drop(504, 'no reply in time', passes.UNKNOWN))
         else:
             self.drop(rec, passes.Drop(504, 'no time left', passes.UNKNOWN))
@@ -383,6 +489,12 @@
         del self.table[rec.rid]
         self.out.append(seam.Outcome(rec.rid, status, headers, f'{e}\n'.encode()))
 
+    def open_hung_up(self, rid):
+        rec = self.table.get(rid)
+        if rec is not None and not rec.live and rec.passes is PASSES:
+            # Why dropped: nothing of it was sent, and nobody waits for it any more.
+            del self.table[rid]
+
     def open_applied(self):
         self.see_cold()
         row = self.routes.item('limits') or {}
--- a/zinctrail/data/passes.py
+++ b/zinctrail/data/passes.py
@@ -62,6 +62,9 @@
     # Of open traffic: when an outcome is worth most, and until when it may wait for room.
     aim: typing.Any = None
     patience: typing.Any = None
+    # Of open traffic: what was sent and not told of yet, {fetch: incarnation}; when another is sent beside it.
+    live: dict = dataclasses.field(default_factory=dict)
+    hedge_at: typing.Any = None
 
 
 def a_pass(fn):
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -628,6 +628,7 @@
 
     def on_hung_up(self, rid):
         """The caller went away. What was sent is sent; its outcome is still kept for a repeat."""
+        self.open_hung_up(rid)
 
     # -- leaving ----------------------------------------------------------
 
