--- a/features/open.feature
+++ b/features/open.feature
@@ -150,6 +150,14 @@
       | often                 | answers 200 without a stamp           | 2 | none |
       | once                  | answers 200 without a stamp           | 1 | 502  |
       | once                  | answers in an encoding                | 1 | 502  |
+      | once                  | answers 503 and nothing else          | 1 | 502  |
+      | often                 | answers 503 and nothing else          | 2 | none |
+
+  Scenario: Whose time is up before anything was sent is told that it did not run
+    Given a proxy for open traffic with 1 endpoints
+    When the endpoint is full, and requests of rank 2, 0 and 1 wait
+    And 10 s go by for the proxy
+    Then each of those that waited is told 503
 
   Scenario: An endpoint that fails twice in a row is passed over while there are others
     Given a proxy for open traffic with 2 endpoints, whose rule says once
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -597,6 +597,7 @@
     'answers 500': dict(status=500),
     'answers 503 as not run': dict(status=503, zt_not_run='1'),
     'answers 421': dict(status=421),
+    'answers 503 and nothing else': dict(status=503),
     'can not be reached': dict(sent=False, fault='refused'),
     'answers 200 without a stamp': dict(status=200),
     'answers in an encoding': dict(content_encoding='gzip'),
@@ -738,3 +739,13 @@
 def _(context):
     context.b.go(500)
     assert not context.b.fetches()
+
+
+@behave.when('{s:d} s go by for the proxy')
+def _(context, s):
+    context.b.go(1000 * s)
+
+
+@behave.then('each of those that waited is told 503')
+def _(context):
+    assert [context.b.outcome(rid).status for rid in context.waiting.values()] == [503] * 3
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -95,6 +95,10 @@
     return fn
 
 
+# Statuses by which a caller is told that its request did not run and never will.
+PROMISES = (408, 429, 503)
+
+
 def come_back(prox, rec):
     """Milliseconds until another attempt: callers wait a third of their time for one, and most troubles need that."""
     left = seam.to_ms(rec.until - prox.now) if rec.until else 900
@@ -187,6 +191,9 @@
         return 'success without a stamp'
     if 'content-encoding' in res.headers:
         return 'reply in an encoding that nobody asked for'
+    if res.status in PROMISES and 'zt-not-run' not in res.headers:
+        # Why no reply: to its caller it would promise that nothing ran, and the endpoint does not say so.
+        return f'a {res.status} that does not say whether it ran'
     return ''
 
 
@@ -482,6 +489,9 @@
         if outcome == passes.UNKNOWN and status == 503:
             # Why: that status promises that nothing ran.
             status = 502
+        elif outcome == passes.NOT_RUN and status == 504:
+            # Why: nothing of it was sent, so the promise can be made.
+            status = 503
         headers = {'content-type': 'text/plain', 'zt-outcome': outcome}
         if outcome == passes.NOT_RUN and 'retry_ms' in e.more:
             headers['retry-after'] = f'{e.more["retry_ms"] / 1000:g}'
