Log lines carry fields, metrics at /v1/metrics; ztctl lag, duties, trace, election

Lines carry fields behind the sentence, or are JSON (--log_format, checked); a vote, a member that comes, why somebody stands and who voted are told. A request costs two bisections and increments more. ztctl lag asks each member itself.

Ruled out: a line for each step of a request, and logging each refusal: both cost more than the small machines have (0.43 of a core).

Tests: ops.feature 30; open, platform, settings, agree, control, edge, late and input pass. recover_real failed once under a load of 34 on 16 cores (27 unknown of 43).

--- /dev/null
+++ b/features/ops.feature
@@ -0,0 +1,110 @@
+Feature: What an operator sees: log lines, measures, and what follows them through many processes
+
+  Scenario Outline: A line is read back as it was written
+    When a line with <what> is written in the form <form>
+    Then its text and fields are read back
+    Examples:
+      | what                  | form |
+      | plain fields          | text |
+      | plain fields          | json |
+      | a text with blanks    | text |
+      | a text with blanks    | json |
+      | quotes and equals     | text |
+      | quotes and equals     | json |
+      | lists and truths      | text |
+      | lists and truths      | json |
+      | a bar in the sentence | json |
+
+  Scenario Outline: What is no line of ours is passed over
+    When <line> is read as a line
+    Then nothing is read
+    Examples:
+      | line                                   |
+      | nothing                                |
+      | a sentence of another program          |
+      | JSON of another program                |
+      | JSON cut short                         |
+      | JSON nested very deeply                |
+      | a field whose text is cut short        |
+
+  Scenario: A request that went well is told of only where its id is picked
+    Given a watched proxy that traces 0 of all requests
+    When a request is sent on and answered after 40 ms
+    Then no line tells of it
+    Given a watched proxy that traces 1 of all requests
+    When a request is sent on and answered after 40 ms
+    Then one line tells of it: outcome ran, tries 1, 40 ms there, 0 ms here
+
+  Scenario: Every process picks the same share of ids
+    Then of 10000 ids two tracers of 0.1 pick the same, between 800 and 1200
+
+  Scenario: A request whose outcome is not known is told of, with who had it
+    Given a watched proxy that traces 0 of all requests
+    When a request is sent on and no reply comes in time
+    Then one line tells of it: outcome unknown, tries 1, 2000 ms there, 0 ms here
+
+  Scenario: A storm of faults is counted, not written out
+    Given a watched proxy that traces 0 of all requests
+    When 60 requests are sent on and no reply comes in time
+    Then 5 lines tell of them, and 55 are counted as left out
+
+  Scenario: Requests, tries, causes and times are counted
+    Given a watched proxy that traces 0 of all requests
+    When a request is sent on and answered after 40 ms
+    And a request is sent on and no reply comes in time
+    And a request comes with no time left
+    Then its measures are
+      | name                                 | value |
+      | requests_total outcome=ran           | 1     |
+      | requests_total outcome=unknown       | 1     |
+      | requests_total outcome=not-run       | 1     |
+      | tries_total                          | 2     |
+      | refusals_total cause=no time left    | 1     |
+      | refusals_total cause=no reply in time | 1    |
+      | here_seconds_count                   | 3     |
+      | here_seconds_bucket le=0.001         | 3     |
+      | there_seconds_count                  | 2     |
+      | there_seconds_bucket le=0.02         | 0     |
+      | there_seconds_bucket le=0.05         | 1     |
+      | there_seconds_bucket le=2.0          | 2     |
+      | there_seconds_sum                    | 2.04  |
+      | endpoints cold=no service=s state=ready | 2  |
+
+  Scenario: No cause that a caller can name fills the memory
+    Given a watched proxy that traces 0 of all requests
+    When requests end for 1000 causes
+    Then at most 65 causes are kept, and all 1000 are counted
+
+  Scenario: Elections are followed through the lines of many processes
+    Given a simulated world whose master is killed, its lines kept
+    When its lines are followed for elections
+    Then each term tells who stood and why, who led with whose votes, and who followed
+    And a term that never was tells nothing
+
+  Scenario: A claim is told of at the master where its id is picked
+    Given a simulated world that traces every request
+    When a run-once request runs in it
+    Then following its id tells the claim at the master, and its end at the proxy with the endpoint
+
+  Scenario Outline: A real process tells lines of one form only, and its measures
+    When a proxy runs with <flags>, is scraped, and stopped
+    Then it ends with code 0, and each of its lines is one of ours in the form <form>
+    And what twisted tells of its daily work is not among them
+    And the scrape has its lease, memory and descriptors
+    Examples:
+      | flags             | form |
+      | no flags          | text |
+      | --log_format=json | json |
+
+  Scenario Outline: A wrong setting of the log ends the program with code 2
+    When a proxy is started with <flag>
+    Then it has ended with code 2 and named <name>
+    Examples:
+      | flag              | name        |
+      | --log_format=xml  | log_format  |
+      | --trace_share=2   | trace_share |
+      | --trace_share=-1  | trace_share |
+      | --trace_share=all | trace_share |
+
+  Scenario: The library for measures is not loaded until somebody scrapes
+    Then a proxy's program comes up without it
--- /dev/null
+++ b/features/steps/ops_steps.py
@@ -0,0 +1,316 @@
+import logging
+import os
+import random
+import re
+import signal
+import subprocess
+import sys
+import threading
+import types
+import urllib.request
+
+import behave
+
+import open_steps
+import settings_steps
+import zinctrail.edge.metrics as metrics
+import zinctrail.fleet as fleet
+import zinctrail.follow as follow
+import zinctrail.logs as logs
+import zinctrail.seam as seam
+import zinctrail.sim.cast as cast
+import zinctrail.sim.world as world
+import zinctrail.trace as trace
+
+ms = seam.ms
+STAMP = 'I1202 03:21:20.123456 1234 host.py:189] '
+
+LINES = {
+    'plain fields': ('core: Leads term 5.', {'event': 'lead', 'term': 5, 'by': '10.0.0.1:7000'}),
+    'a text with blanks': ('core: Lost.', {'event': 'lost', 'why': 'no quorum answers', 'none': ''}),
+    'quotes and equals': ('x', {'event': 'e', 'why': 'a="b c" | d=e, "f"', 'path': '/a?b=c&d', 'slash': 'a\\"b'}),
+    'lists and truths': ('x', {'event': 'e', 'votes': ['a', 'b'], 'one': ['c'], 'none': [], 'set': {'y', 'x'}, 'yes': True, 'no': False}),
+    'a bar in the sentence': ('core: a | b=c', {'event': 'e', 'k': 'v'}),
+}
+AS_READ = {'lists and truths': {'event': 'e', 'votes': 'a,b', 'one': 'c', 'none': '', 'set': 'x,y', 'yes': 'yes', 'no': 'no'}}
+
+
+@behave.when('a line with {what} is written in the form {form}')
+def _(context, what, form):
+    text, fields = LINES[what]
+    rec = logging.LogRecord('absl', logging.INFO, 'host.py', 1, '%s', (text,), None)
+    rec.fields = fields
+    inner = types.SimpleNamespace(format=lambda r: STAMP + r.getMessage())
+    context.line = logs.Lines(form, inner).format(rec)
+    context.want = {'text': text, **{k: str(v) for k, v in AS_READ.get(what, fields).items()}}
+
+
+@behave.then('its text and fields are read back')
+def _(context):
+    # Why with words before it: whatever gathers lines may say whose they are.
+    for line in (context.line, context.line + '\n', f'  38.0693 edge-1 {context.line}'):
+        got = logs.read(line)
+        assert got and got.pop('at') and got.pop('level') == 'info', (line, got)
+        assert got == context.want, (line, got)
+
+
+STRANGE = {
+    'nothing': '',
+    'a sentence of another program': 'Dec  2 03:21:20 host kernel: all is well',
+    'JSON of another program': '{"at": "2026-12-02T03:21:20Z", "text": 7}',
+    'JSON cut short': '{"at": "2026-12-02T03:21:20Z", "te',
+    'JSON nested very deeply': '{"at": ' + '[' * 100000,
+    'a field whose text is cut short': STAMP + 'x | event=e why="\\q"',
+}
+
+
+@behave.when('{line} is read as a line')
+def _(context, line):
+    context.got = logs.read(STRANGE[line])
+
+
+@behave.then('nothing is read')
+def _(context):
+    assert context.got is None, context.got
+
+
+@behave.given('a watched proxy that traces {share:g} of all requests')
+def _(context, share):
+    context.b = open_steps.Bench(2, rule={'attempts': 1})
+    context.b.p.tracer = trace.Tracer(share)
+
+
+def told(context):
+    return [e for e in context.b.effects if isinstance(e, seam.Log) and e.fields.get('event') == 'request']
+
+
+@behave.when('a request is sent on and answered after {n:d} ms')
+def _(context, n):
+    context.b.request()
+    fetch = context.b.fetches()[-1]
+    context.b.go(n)
+    context.b.reply(fetch)
+
+
+@behave.when('a request is sent on and no reply comes in time')
+def _(context):
+    context.b.request(left=2000)
+    context.b.go(2000)
+
+
+@behave.when('{n:d} requests are sent on and no reply comes in time')
+def _(context, n):
+    b = context.b
+    b.put([['endpoints', f'e{i}', dict(b.p.rep.get('endpoints', f'e{i}'), slots=100)] for i in range(2)])
+    for _ in range(n):
+        b.request(left=2000)
+    assert len(b.fetches()) == n
+    b.go(2000)
+
+
+@behave.when('a request comes with no time left')
+def _(context):
+    context.b.request(left=0)
+
+
+@behave.when('requests end for {n:d} causes')
+def _(context, n):
+    context.b.request()
+    rec, = context.b.p.table.values()
+    for i in range(n):
+        context.b.p.ended(rec, 404, 'not-run', f'cause {i}: {i}')
+
+
+@behave.then('at most {most:d} causes are kept, and all {n:d} are counted')
+def _(context, most, n):
+    causes = context.b.p.causes
+    assert len(causes) <= most and sum(causes.values()) == n, (len(causes), sum(causes.values()))
+
+
+@behave.then('no line tells of it')
+def _(context):
+    assert told(context) == []
+
+
+@behave.then('one line tells of it: outcome {outcome}, tries {tries:d}, {there:d} ms there, {here:d} ms here')
+def _(context, outcome, tries, there, here):
+    line, = told(context)
+    f = line.fields
+    assert (f['outcome'], f['tries'], f['there_ms'], f['here_ms']) == (outcome, tries, there, here), f
+    assert f['id'] == 'id1' and f['service'] == 's' and f['inc'] in ('e0', 'e1') and f['id'] in line.text, f
+
+
+@behave.then('{n:d} lines tell of them, and {left:d} are counted as left out')
+def _(context, n, left):
+    assert len(told(context)) == n and context.b.p.tracer.left_out == left, (len(told(context)), context.b.p.tracer.left_out)
+
+
+@behave.then('of {n:d} ids two tracers of {share:g} pick the same, between {least:d} and {most:d}')
+def _(context, n, share, least, most):
+    rng, a, b = random.Random(1), trace.Tracer(share), trace.Tracer(share)
+    ids = [f'{rng.getrandbits(64):x}' for _ in range(n)]
+    got = [i for i in ids if a.picks(i)]
+    assert got == [i for i in ids if b.picks(i)] and least <= len(got) <= most, len(got)
+
+
+def scraped(text):
+    """{name without ours, with its labels: value}"""
+    out = {}
+    for name, labels, value in re.findall(r'^zinctrail_(\w+)(?:\{(.*)\})? (\S+)$', text, re.M):
+        words = [f'{k}={v}' for k, v in re.findall(r'(\w+)="([^"]*)"', labels)]
+        out[' '.join([name, *words])] = float(value)
+    return out
+
+
+def scrape(rows):
+    import prometheus_client.exposition as exposition
+    return scraped(exposition.generate_latest(metrics.Rows(rows)).decode())
+
+
+@behave.then('its measures are')
+def _(context):
+    got = scrape(context.b.p.measures())
+    for row in context.table:
+        assert row['name'] in got and abs(got[row['name']] - float(row['value'])) < 1e-6, (row['name'], got)
+
+
+@behave.given('a simulated world whose master is killed, its lines kept')
+def _(context):
+    context.w = w = grown(0.0)
+    context.first = w.master()
+    context.first.kill()
+    assert w.run(ms(20000), lambda: w.master() and w.master() is not context.first
+                 and all(n.machine.leased() for n in w.nodes.values() if n is not context.first))
+
+
+def grown(share):
+    w = world.World(1)
+    for i in range(3):
+        w.add(f'core{i}', 'core', f'r{i}/c0')
+    w.add('prox0', 'prox', 'r0/c0')
+    for n in w.nodes.values():
+        n.place.seeds = [c.place.addr for c in w.of('core')]
+        n.start()
+        n.machine.tracer = trace.Tracer(share)
+    assert w.run(ms(30000), lambda: w.master() and all(n.machine.leased() for n in w.nodes.values()))
+    return w
+
+
+def lines(w):
+    out = []
+    for n in w.nodes.values():
+        for at, text, fields in n.told:
+            out.append(logs.json_of(at.total_seconds(), 'info', text, {**fields, 'by': n.place.addr} if fields else {}))
+    random.Random(1).shuffle(out)
+    return out
+
+
+@behave.when('its lines are followed for elections')
+def _(context):
+    context.recs = follow.records(lines(context.w))
+    context.got = follow.elections(context.recs)
+
+
+@behave.then('each term tells who stood and why, who led with whose votes, and who followed')
+def _(context):
+    w, text = context.w, '\n'.join(context.got)
+    assert re.search(rf'{context.first.place.addr}  leads, with the votes of ', text), text
+    master, term = w.master(), w.master().machine.term
+    last = '\n'.join(follow.elections(context.recs, term))
+    assert last.startswith(f'term {term}\n') and last in text, last
+    assert re.search(rf'{master.place.addr}  stands, try \d+: (silent|disconnected)', last), last
+    led = re.search(rf'{master.place.addr}  leads, with the votes of (.*)', last).group(1).split(', ')
+    voted = set(re.findall(rf'(\S+)  votes for {master.place.addr}', last))
+    assert set(led) == voted | {master.place.addr} and len(led) >= 2, (led, voted)
+    assert 'followed by 2,' in last, last
+
+
+@behave.then('a term that never was tells nothing')
+def _(context):
+    assert follow.elections(context.recs, 9999) == []
+
+
+@behave.given('a simulated world that traces every request')
+def _(context):
+    context.w = world.World(1)
+    context.c = cast.Cast(context.w, dict(fleet.PRESETS['small'], services={'loans': 2}))
+    context.c.start()
+    for n in context.w.nodes.values():
+        n.machine.tracer = trace.Tracer(1.0)
+
+
+@behave.when('a run-once request runs in it')
+def _(context):
+    caller = cast.Caller(context.c, 'caller', context.c.cells[0], ['loans'], 1)
+    done = []
+    caller.one('loans').addCallback(done.append)
+    assert context.w.run(ms(10000), lambda: bool(done)) and done[0].outcome == 'ran', done
+    context.ran, context.status = done[0].id, done[0].status
+
+
+@behave.then('following its id tells the claim at the master, and its end at the proxy with the endpoint')
+def _(context):
+    got = follow.trace(follow.records(lines(context.w)), context.ran)
+    assert len(got) == 2 and 'claim for' in got[0] and 'claimed' in got[0], got
+    assert re.search(rf'ran {context.status}: reply of the endpoint; service \w+, endpoint \S+, tries 1, \d+ ms here, \d+ ms there', got[1]), got
+
+
+def proxy_args(*flags):
+    port = settings_steps.free_ports(2)
+    return port, [sys.executable, '-m', 'zinctrail.prog.ztprox', f'--addr=127.0.0.1:{port}', f'--http=127.0.0.1:{port + 1}',
+                  '--cell=r/c', '--seeds=127.0.0.1:1', *flags]
+
+
+@behave.when('a proxy runs with {flags}, is scraped, and stopped')
+def _(context, flags):
+    port, args = proxy_args(*([] if flags == 'no flags' else [flags]))
+    proc = subprocess.Popen(args, cwd=settings_steps.ROOT, stderr=subprocess.PIPE, text=True)
+    # Why bounded: a process that never tells must fail the scenario, not hold it up.
+    late = threading.Timer(60, proc.kill)
+    late.start()
+    context.lines = [proc.stderr.readline()]
+    with urllib.request.urlopen(f'http://127.0.0.1:{port + 1}/v1/metrics', timeout=30) as res:
+        context.kind, context.scraped = res.headers['content-type'], res.read().decode()
+    proc.send_signal(signal.SIGTERM)
+    context.lines += proc.stderr.read().splitlines(True)
+    context.code = proc.wait()
+    late.cancel()
+
+
+@behave.then('it ends with code 0, and each of its lines is one of ours in the form {form}')
+def _(context, form):
+    assert context.code == 0, context.lines
+    recs = [logs.read(line) for line in context.lines]
+    assert len(recs) >= 2 and all(r and r['text'].startswith('prox: ') for r in recs), context.lines
+    assert all(line.startswith('{') == (form == 'json') for line in context.lines), context.lines
+    assert recs[0]['event'] == 'start' and recs[0]['by'].startswith('127.0.0.1:') and recs[0]['role'] == 'prox', recs[0]
+
+
+@behave.then('what twisted tells of its daily work is not among them')
+def _(context):
+    assert not any(word in line for line in context.lines for word in ('starting', 'Starting', 'Timing out', 'Main loop')), context.lines
+
+
+@behave.then('the scrape has its lease, memory and descriptors')
+def _(context):
+    got = scraped(context.scraped)
+    assert context.kind.startswith('text/plain'), context.kind
+    assert got['lease_seconds'] == 0 and got['memory_bytes'] > 1 << 20 and 5 < got['descriptors'] < 200, got
+
+
+@behave.when('a proxy is started with {flag}')
+def _(context, flag):
+    _, args = proxy_args(flag)
+    context.done = subprocess.run(args, cwd=settings_steps.ROOT, capture_output=True, text=True, timeout=60)
+
+
+@behave.then('it has ended with code 2 and named {name}')
+def _(context, name):
+    assert context.done.returncode == 2 and name in context.done.stderr, context.done
+
+
+@behave.then("a proxy's program comes up without it")
+def _(context):
+    code = ('import sys, zinctrail.prog.ztprox, zinctrail.prog.ztcore, zinctrail.edge.host;'
+            'sys.exit(any(m.startswith("prometheus_client") for m in sys.modules))')
+    assert subprocess.run([sys.executable, '-c', code], cwd=settings_steps.ROOT, env={**os.environ}).returncode == 0
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -13,6 +13,7 @@
 import zinctrail.agree.frames as frames
 import zinctrail.agree.replica as replica
 import zinctrail.bounds as bounds_
+import zinctrail.measures as measures
 import zinctrail.seam as seam
 
 # Statuses that promise that nothing was done and nothing will be.
@@ -85,6 +86,8 @@
         self.asks = {}
         self.ask_no = 0
         self.life = ''
+        # Why the last master was lost, for the log of the next election.
+        self.lost_why = ''
 
     def figures(self):
         """The host's own counts, where it keeps any."""
@@ -109,7 +112,8 @@
     # -- inputs -----------------------------------------------------------
 
     def on_start(self):
-        self.log(f'Starts as {self.node} at {self.place.addr}.')
+        self.log(f'Starts as {self.node} at {self.place.addr}.', 'start', node=self.node, role=self.role, cell=self.place.cell,
+                 http=self.place.http, release=zinctrail.__version__)
         self.alarm('find', seam.ZERO)
 
     def on_recv(self, env):
@@ -196,7 +200,7 @@
         if self.stopping:
             return
         self.stopping = True
-        self.log('Leaves.')
+        self.log('Leaves.', 'leave', node=self.node)
         if self.master:
             self.tell(self.master['addr'], 'leave')
         self.alarm('exit', self.leave_wait())
@@ -286,7 +290,7 @@
             self.mode = 'follower'
             self.master = {'id': env['f'], 'addr': env['a'], 'http': env.get('http', '')}
             self.acks.clear()
-            self.log(f'Follows {env["f"]} in term {self.term}.')
+            self.log(f'Follows {env["f"]} in term {self.term}.', 'follow', term=self.term, node=env['f'], addr=env['a'])
             self.followed()
         if pace is not None:
             self.pace_told = pace
@@ -343,7 +347,9 @@
         self.lose_master('silent')
 
     def lose_master(self, why):
-        self.log(f'Lost master {self.master["id"] if self.master else "?"}: {why}.')
+        self.lost_why = why
+        self.log(f'Lost master {self.master["id"] if self.master else "?"}: {why}.', 'lost', term=self.term,
+                 node=self.master['id'] if self.master else '', why=why)
         self.master = None
         self.mode = 'candidate'
         self.alarms.pop('lead', None)
@@ -443,6 +449,20 @@
 
     # -- shared by the status pages ---------------------------------------
 
+    def measures(self):
+        """Rows of measures.py."""
+        yield measures.gauge('term', 'The term this process knows of.', self.term)
+        yield measures.gauge('generation', 'The newest generation in force here.', self.rep.committed[1])
+        yield measures.gauge('lease_seconds', 'What is left of the lease; 0: acts on nothing.',
+                             max(0.0, self.lease_left().total_seconds()))
+        yield measures.by(measures.GAUGE, 'mode', 'What it is in the agreement now.', 'mode',
+                          {m: int(self.mode == m) for m in ('leader', 'follower', 'candidate')})
+        yield measures.counter('bad_frames', 'Frames left unread.', self.bad_frames)
+        ends = collections.Counter((r['service'], r['state'], 'yes' if r.get('chill') or r['cold'] else 'no')
+                                   for r in self.rep.get('endpoints').values())
+        yield (measures.GAUGE, 'endpoints', 'Endpoints as this process knows them.',
+               [({'service': s, 'state': st, 'cold': c}, n) for (s, st, c), n in sorted(ends.items())])
+
     def status(self):
         return {'id': self.node, 'role': self.role, 'cell': self.place.cell, 'addr': self.place.addr,
                 'http': self.place.http, 'cluster': self.cluster, 'mode': self.mode, 'term': self.term,
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -12,6 +12,7 @@
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
 import zinctrail.faults as faults
+import zinctrail.measures as measures
 import zinctrail.seam as seam
 
 tup = partner.tup
@@ -200,7 +201,7 @@
     def on_disk_fault(self, text):
         """A write failed: what stood behind it was not done, and nothing more is promised."""
         if not self.unfit:
-            self.log(f'Disk can not be written: {text}. Does not vote or lead.')
+            self.log(f'Disk can not be written: {text}. Does not vote or lead.', 'disk', fit=False, why=text)
         self.unfit = True
         if self.mode == 'leader':
             self.step_down('disk')
@@ -217,7 +218,7 @@
 
     def on_done(self, name):
         self.unfit = False
-        self.log('Disk can be written again.')
+        self.log('Disk can be written again.', 'disk', fit=True)
 
     def on_recv(self, env):
         if self.given_up:
@@ -351,7 +352,7 @@
         self.say_waiting(good)
         if self.boot_rounds >= 4 and view[0] == self.node:
             cluster = uuid.UUID(int=self.rng.getrandbits(128), version=4).hex
-            self.log(f'Forms cluster {cluster} of {len(view)}.')
+            self.log(f'Forms cluster {cluster} of {len(view)}.', 'form', cluster=cluster, nodes=view)
             self.take_boot(cluster, view)
             self.push_boot()
 
@@ -456,7 +457,7 @@
     def start_election(self, seen):
         term = max(self.term, seen) + 1
         self.counts['elections'] += 1
-        self.log(f'Stands for term {term}.')
+        self.log(f'Stands for term {term}.', 'stand', term=term, why=self.lost_why or 'no master known', tries=self.tries)
         self.raise_term(term, self.node)
         self.votes = {self.node: None}
         for node, addr in sorted(self.fresh_known().items()):
@@ -475,6 +476,7 @@
         self.prevotes = None
         self.voted_at = self.now
         self.alarms.pop('elect', None)
+        self.log(f'Votes for {env["f"]} in term {self.term}.', 'vote', term=self.term, node=env['f'])
         self.tell(env['a'], 'vote', term=self.term, accepted=self.rep.accepted, member=self.member())
 
     def m_vote(self, env):
@@ -495,7 +497,7 @@
             self.become_master(joins)
 
     def become_master(self, joins):
-        self.log(f'Leads term {self.term}.')
+        self.log(f'Leads term {self.term}.', 'lead', term=self.term, votes=sorted(joins))
         self.mode = 'leader'
         self.master = {'id': self.node, 'addr': self.place.addr, 'http': self.place.http}
         self.tries = 0
@@ -537,7 +539,8 @@
         """For the role."""
 
     def step_down(self, why):
-        self.log(f'Steps down from term {self.term}: {why}.')
+        self.lost_why = why
+        self.log(f'Steps down from term {self.term}: {why}.', 'down', term=self.term, why=why)
         self.mode = 'candidate'
         self.master = None
         for a in ('chk', 'pub', 'ack'):
@@ -869,6 +872,7 @@
         if node == self.node or node in self.peers:
             return None
         p = self.peers[node] = Peer(node, row, self.now)
+        self.log(f'Member {node} ({p.role} {p.addr}) is here.', 'here', node=node, role=p.role, addr=p.addr)
         # Why: who comes back needs only what it missed.
         p.accepted = self.joined_at.pop(node, None)
         return p
@@ -906,7 +910,7 @@
         if self.faulty.get(node, seam.ZERO) > self.now - seam.ms(1000) and node in self.faulty:
             return
         self.faulty[node] = self.now
-        self.log(f'Member {node} ({p.role} {p.addr}) is gone: {why}.')
+        self.log(f'Member {node} ({p.role} {p.addr}) is gone: {why}.', 'gone', node=node, role=p.role, addr=p.addr, why=why)
 
         def drop(txn):
             txn.drop('members', node)
@@ -936,7 +940,7 @@
             if txn.get('meta', 'vc') == vc:
                 txn.put('meta', 'vc', done)
             return {'status': 200}
-        self.log(f'Voting set becomes {done["accepted"]}.')
+        self.log(f'Voting set becomes {done["accepted"]}.', 'voters', term=self.term, voters=done['accepted'])
         self.submit(change, lambda res: None)
 
     def nearly(self, p):
@@ -1008,7 +1012,7 @@
         if able:
             # Why the furthest, then who answered last: it wins at once and is the surest to be there.
             p = max(able, key=lambda p: (p.accepted, p.ack_at))
-            self.log(f'Names {p.node} successor.')
+            self.log(f'Names {p.node} successor.', 'successor', term=self.term, node=p.node)
             self.tell(p.addr, 'succeed', term=self.term)
         self.alarm('succ', seam.ms(150))
 
@@ -1066,6 +1070,20 @@
         """For the role: the operations a master does for the others."""
         cb({'status': 404, 'fault': f'no operation {op}'})
 
+    def measures(self):
+        yield from super().measures()
+        for name, text in (('elections', 'Elections it stood in.'), ('prevotes', 'Tries before an election.'),
+                           ('generations', 'Generations it made as master.'), ('full', 'Whole states sent, not changes.'),
+                           ('probes', 'Probes of endpoints it gave out.')):
+            yield measures.counter(name, text, self.counts[name])
+        yield measures.gauge('queue', 'Changes that wait for the next generation.', len(self.tasks))
+        yield measures.gauge('unfit', 'Whether its disk can not be written.', int(self.unfit))
+        yield measures.gauge('voter', 'Whether it is in the voting set.',
+                             int(self.node in (self.vc() or {}).get('accepted', ())))
+        if self.mode == 'leader':
+            yield measures.by(measures.GAUGE, 'members', 'Members, by the word of the master.', 'role',
+                              collections.Counter(r['role'] for r in self.rep.get('members').values()))
+
     def status(self):
         s = super().status()
         if self.empty():
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -331,7 +331,7 @@
         if row.get('plain') and not refused and self.beats.get(inc, seam.ZERO) > self.now - self.bounds.beat * 1.5:
             # Why kept: it beats, and where a probe waits for a slot, a full endpoint is as silent as one that is gone.
             return
-        self.log(f'Endpoint {inc} is gone: silent, and the probe failed.')
+        self.log(f'Endpoint {inc} is gone: silent, and the probe failed.', 'endpoint-gone', inc=inc)
 
         def drop(txn):
             self.gone(txn, inc)
@@ -422,6 +422,18 @@
         except faults.CallFault as e:
             cb({'status': e.status, 'fault': str(e), **e.more})
 
+    def serve_claim(self, args, cb):
+        name = args.get('id')
+        if isinstance(name, str) and self.tracer.picks(name):
+            self.submit(lambda txn: claims.claim(self, txn, args), lambda res: self.claim_told(name, args, res, cb))
+        else:
+            self.submit(lambda txn: claims.claim(self, txn, args), cb)
+
+    def claim_told(self, name, args, res, cb):
+        outcome = res.get('got') or res['status']
+        self.log(f'Claim of {name:.200}: {outcome}.', 'claim', id=name, outcome=outcome, proxy=args.get('at'))
+        cb(res)
+
     def serve_apply(self, args, cb):
         doc, base, wait = args.get('config'), args.get('base'), args.get('wait', False)
         if isinstance(base, bool) or not isinstance(base, int):
@@ -556,6 +568,6 @@
     'config.get': Core.serve_config,
     'config.check': Core.serve_check,
     'status': Core.serve_status,
-    'claim': lambda core, args, cb: core.submit(lambda txn: claims.claim(core, txn, args), cb),
+    'claim': Core.serve_claim,
     'close': lambda core, args, cb: core.submit(lambda txn: claims.close(core, txn, args), cb),
 }
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -227,6 +227,7 @@
 @a_pass
 def settle(prox, rec):
     prox.counts[passes.RAN] += 1
+    prox.ended(rec, rec.res.status, passes.RAN)
     del prox.table[rec.rid]
     headers = {k: v for k, v in rec.res.headers.items() if k not in HOP}
     prox.out.append(seam.Outcome(rec.rid, rec.res.status, headers, rec.res.body))
@@ -382,6 +383,7 @@
         headers['zt-inc'] = rec.inc
         headers['zt-left-ms'] = str(max(1, seam.to_ms(left)))
         self.counts['sends'] += 1
+        rec.sent_at = rec.sent_at or self.now
         self.out.append(seam.Fetch(rec.fid, row['addr'], rec.inc, rec.call.method, rec.path, headers, rec.call.body,
                                    left + seam.ms(20), plain=True, once=rec.once))
 
@@ -393,6 +395,8 @@
             self.note_load(end, res)
             self.note_answer(rec, end, res, seam.to_ms(self.now - at))
         rec.live.pop(fid, None)
+        if rec.sent_at is not None and not rec.live:
+            rec.there, rec.sent_at = rec.there + (self.now - rec.sent_at), None
         if rec.rid in self.table:
             rec.res, rec.inc, rec.fid = res, inc, fid
             self.resume(rec, check)
@@ -496,6 +500,7 @@
         if outcome == passes.NOT_RUN and 'retry_ms' in e.more:
             headers['retry-after'] = f'{e.more["retry_ms"] / 1000:g}'
         self.counts[outcome] += 1
+        self.ended(rec, status, outcome, str(e))
         del self.table[rec.rid]
         self.out.append(seam.Outcome(rec.rid, status, headers, f'{e}\n'.encode()))
 
--- a/zinctrail/data/passes.py
+++ b/zinctrail/data/passes.py
@@ -65,6 +65,9 @@
     # Of open traffic: what was sent and not told of yet, {fetch: incarnation}; when another is sent beside it.
     live: dict = dataclasses.field(default_factory=dict)
     hedge_at: typing.Any = None
+    # Since when it is at an endpoint, and how long it was at others before.
+    sent_at: typing.Any = None
+    there: typing.Any = seam.ZERO
 
 
 def a_pass(fn):
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -13,6 +13,7 @@
 import zinctrail.data.open as open_
 import zinctrail.data.passes as passes
 import zinctrail.data.repeats as repeats
+import zinctrail.data.told as told
 import zinctrail.req.seal as seal
 import zinctrail.seam as seam
 
@@ -69,7 +70,7 @@
         self.took_ms = 0.0
 
 
-class Prox(open_.Open, partner.Partner):
+class Prox(open_.Open, told.Told, partner.Partner):
     role = 'prox'
     prefix = 'prox'
 
@@ -96,6 +97,7 @@
         # Whether, on leaving, open traffic is no longer taken.
         self.parted = False
         self.open_init()
+        self.told_init()
 
     def count(self):
         self.no += 1
@@ -168,10 +170,12 @@
         text = json.dumps(body).encode()
         seal.seal(e.status, headers, text)
         self.counts[outcome] += 1
+        self.ended(rec, e.status, outcome, str(e))
         self.done(rec, e.status, headers, text, ran=False)
 
     def finish(self, rec):
         self.counts[passes.RAN] += 1
+        self.ended(rec, rec.res.status, passes.RAN)
         self.done(rec, rec.res.status, self.headers_of(rec.res), rec.res.body, ran=True)
 
     def headers_of(self, res):
@@ -288,6 +292,7 @@
         # Why its own attempt number: the caller matches the reply to what it sent.
         headers = seal.seal(status, dict(headers, **{'zt-attempt': str(rec.attempt), 'zt-kept': '1'}), body)
         self.counts['replayed'] += 1
+        self.ended(rec, status, 'replayed')
         self.done(rec, status, headers, body, ran=True)
 
     # -- credit -----------------------------------------------------------
@@ -462,6 +467,7 @@
             if k in rec.call.headers:
                 headers[k] = rec.call.headers[k]
         self.counts['sends'] += 1
+        rec.sent_at = self.now
         # Why longer than the caller waits: until the endpoint is done, its work is there, and counts as credit in use.
         self.out.append(seam.Fetch(rec.fid, self.routes.end(rec.inc)['addr'], rec.inc, rec.call.method, rec.path,
                                    headers, rec.call.body, left + self.bounds.linger))
@@ -471,6 +477,8 @@
             self.open_fetched(fid, res)
             return
         rec, pool, inc, began = self.fetches.pop(fid)
+        if rec.fid == fid:
+            rec.there, rec.sent_at = rec.there + (self.now - began), None
         p = self.pool(pool)
         if res.fault and res.sent and self.routes.end(inc):
             # Why held on: a lost connection does not end the work behind it; some times the usual surely does.
@@ -636,7 +644,7 @@
         if self.stopping:
             return
         self.stopping = True
-        self.log('Leaves: not ready any more, finishes its work.')
+        self.log('Leaves: not ready any more, finishes its work.', 'leave', node=self.node, open=len(self.table))
         if self.master:
             self.tell(self.master['addr'], 'leaving', successors={})
         # Why as long as an answer: requesters go on using us until theirs ends. Why not beyond half the grace: what
--- a/zinctrail/dir/daemon.py
+++ b/zinctrail/dir/daemon.py
@@ -42,7 +42,7 @@
                 ledger.collect(self.now, proxies)
                 if self.handed.get(pool, (0, None))[0] == row['fence']:
                     ledger.take(self.now, self.handed.pop(pool)[1])
-                self.log(f'Keeps pool {pool} under fence {row["fence"]}.')
+                self.log(f'Keeps pool {pool} under fence {row["fence"]}.', 'keep', pool=pool, fence=row['fence'])
                 for m in proxies.values():
                     self.tell(m['addr'], 'collect', pool=pool, fence=row['fence'])
             elif row['holder'] != self.node and mine is not None:
@@ -83,7 +83,7 @@
         if self.stopping:
             return
         self.stopping = True
-        self.log('Leaves.')
+        self.log('Leaves.', 'leave', node=self.node)
         dirs = sorted(n for n, m in self.routes.members('dir').items() if n != self.node and not m.get('leaving'))
         if self.master:
             names = {pool: dirs[i % len(dirs)] for i, pool in enumerate(sorted(self.ledgers))} if dirs else {}
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -112,7 +112,8 @@
                 took = self.now() - began
                 if took > STALL:
                     self.stats['stalls'] += 1
-                    logging.warning('%s: loop stalled for %d ms in %s.', self.machine.prefix, seam.to_ms(took), kind)
+                    logging.warning('%s: loop stalled for %d ms in %s.', self.machine.prefix, seam.to_ms(took), kind,
+                                    extra={'fields': {'event': 'stall', 'ms': seam.to_ms(took), 'input': kind}})
         finally:
             self.busy = False
         self.set_alarm()
@@ -207,7 +208,7 @@
     seam.Close: Host.close_ends,
     seam.Limits: lambda host, e: host.front.limit(e) if host.front else None,
     seam.Leave: lambda host, e: host.front.leave(e.shut) if host.front else None,
-    seam.Log: lambda host, e: logging.info('%s', e.text),
+    seam.Log: lambda host, e: logging.info('%s', e.text, extra={'fields': e.fields}),
     seam.Done: lambda host, e: host.inputs.append(('done', (e.name,))),
     seam.Exit: Host.exit,
 }
--- a/zinctrail/edge/main.py
+++ b/zinctrail/edge/main.py
@@ -18,7 +18,9 @@
 import zinctrail.bounds as bounds
 import zinctrail.edge.host as host
 import zinctrail.faults as faults
+import zinctrail.logs as logs
 import zinctrail.seam as seam
+import zinctrail.trace as trace
 
 FLAGS = absl.flags.FLAGS
 USAGE = 2
@@ -34,6 +36,10 @@
     absl.flags.DEFINE_string('front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.', flag_values=flags)
     absl.flags.DEFINE_list('doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.', flag_values=flags)
     absl.flags.DEFINE_integer('figures_s', 0, 'Seconds between two lines of figures in the log; 0 for none.', flag_values=flags)
+    absl.flags.DEFINE_enum('log_format', 'text', logs.FORMATS, 'Lines with fields behind the sentence, or of JSON.',
+                           flag_values=flags)
+    absl.flags.DEFINE_float('trace_share', 0.0, 'The share of requests, picked by id, whose end is logged.',
+                            lower_bound=0, upper_bound=1, flag_values=flags)
     for f in dataclasses.fields(bounds.Bounds):
         if isinstance(f.default, datetime.timedelta):
             absl.flags.DEFINE_integer(f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.', flag_values=flags)
@@ -68,7 +74,7 @@
 
 
 def read_again(argv):
-    """(place, bounds) of another command line; the flags of this process stay as they are."""
+    """(place, bounds, tracer) of another command line; the flags of this process stay as they are."""
     # Why not a copy of ours: some flags act when they are set, such as the logs' level.
     flags = absl.flags.FlagValues()
     place_flags(flags)
@@ -76,7 +82,7 @@
         flags(argv, known_only=True)
     except absl.flags.Error as e:
         raise faults.SettingFault(str(e)) from e
-    return read_place(flags), read_bounds(flags)
+    return read_place(flags), read_bounds(flags), trace.Tracer(flags.trace_share)
 
 
 class Again:
@@ -93,7 +99,9 @@
         try:
             argv = self.source()
             if argv is not None:
-                self.host.feed('settings', *read_again(argv))
+                place, bound, tracer = read_again(argv)
+                self.host.machine.tracer = tracer
+                self.host.feed('settings', place, bound)
         except Exception as e:  # Why broad: whatever is wrong with them, the process goes on with what it has.
             absl.logging.error('%s: settings can not be used, goes on with those it has: %s',
                                self.host.machine.prefix, '; '.join(str(e).splitlines()))
@@ -131,12 +139,17 @@
     absl.logging.use_absl_handler()
     if FLAGS['verbosity'].using_default_value:
         absl.logging.set_verbosity(absl.logging.INFO)
+    handler = absl.logging.get_absl_handler()
+    # Why on every line that has fields: lines of many processes are read together.
+    handler.setFormatter(logs.Lines(FLAGS.log_format, absl.logging.PythonFormatter(), {'by': FLAGS.addr}))
+    logs.quiet()
     twisted_log.PythonLoggingObserver(loggerName='twisted').start()
     try:
         if rest:
             raise faults.SettingFault(f'unknown words: {" ".join(rest)}')
         place, bound = read_place(), read_bounds()
         machine, disk = make(place, bound, random.SystemRandom())
+        machine.tracer = trace.Tracer(FLAGS.trace_share)
         h = host.Host(machine, twisted.internet.reactor, disk, dialect, FLAGS.doors, FLAGS.figures_s)
         # Why before the start: by default these signals end a process, and they may come at any moment.
         anew = Again(h, again or (lambda: argv))
--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -16,6 +16,7 @@
 import twisted.web.server as server
 import zope.interface
 
+import zinctrail.edge.metrics as metrics
 import zinctrail.seam as seam
 
 # Why: replies are kept whole in memory until they are checked.
@@ -24,6 +25,7 @@
 IDLE = 60
 # Where an endpoint tells who it is.
 LIVE = '/zt/live'
+METRICS = b'/v1/metrics'
 
 class Request(server.Request):
     """Counts a body while it comes in, so that it is bounded before it is buffered."""
@@ -58,6 +60,10 @@
             request.setHeader('content-type', 'application/json')
             request.setHeader('zt-outcome', 'not-run')
             return b'{"outcome": "not-run", "fault": "body is above the bound"}'
+        if request.method == b'GET' and request.path == METRICS:
+            kind, text = metrics.page(self.host)
+            write(request, 200, {'content-type': kind}, text)
+            return server.NOT_DONE_YET
         self.hand(request, call_of(request))
         return server.NOT_DONE_YET
 
--- a/zinctrail/prog/ztctl.py
+++ b/zinctrail/prog/ztctl.py
@@ -9,6 +9,11 @@
   wait members N                    until N members answer and are up to date
   self                              what the process at --at itself knows
   ready                             exit 0 if it is ready
+  lag                               what is not in force where: each member's own generation and lease, and the
+                                    items and cells that those behind have otherwise; --json for scripts
+  duties                            who holds which duty, under which fence
+  trace ID [FILE ...]               one request, by the log lines of any processes (no FILE: standard input)
+  election [TERM] [FILE ...]        each election, by the log lines of any processes
   get                               the configuration in force, fenced
   check FILE                        every fault of a configuration (- is standard input)
   apply FILE [--base=N]             bring it into force; based on the present one unless told
@@ -40,6 +45,7 @@
 import zinctrail.edge.clock as clock
 import zinctrail.edge.main as main
 import zinctrail.edge.plain as plain
+import zinctrail.follow as follow
 import zinctrail.seam as seam
 
 FLAGS = absl.flags.FLAGS
@@ -173,11 +179,107 @@
         for n, r in sorted(s['members'].items(), key=lambda kv: (kv[1]['role'], kv[1]['http']))])
     print()
     table([('endpoint', 'service', 'cell', 'state', 'slots', 'cold', 'beat')] + [
-        (r['addr'], r['service'], r['cell'], r['state'], str(r['slots']), f'{r["cold"]}/8', f'{r["beat_ms"]} ms')
+        (r['addr'], r['service'], r['cell'], r['state'], str(r['slots']), cold_of(r), f'{r["beat_ms"]} ms')
         for _, r in sorted(s['endpoints'].items(), key=lambda kv: (kv[1]['service'], kv[1]['addr']))])
     print()
     table([('cell', 'region', 'evacuated')] + [
-        (n, r.get('region', ''), 'YES' if r.get('evacuated') else '') for n, r in sorted(s['cells'].items())])
+        (n, r.get('region', ''), 'YES' if r.get('evacuated') or r.get('emptied') else '')
+        for n, r in sorted(s['cells'].items())])
+
+
+def cold_of(row):
+    # Why two forms: some endpoints tell how far they are, others only whether they are.
+    return ('', 'cold', 'taken for cold')[row.get('chill', 0)] if row.get('plain') else f'{row["cold"]}/8'
+
+
+def do_duties(args):
+    s = must(call('GET', '/v1/status'))['state']
+    names = {n: f'{r["http"]} ({r["cell"]})' for n, r in s['members'].items()}
+    rows = [('master', names.get(s['id'], s['id']), f'term {s["term"]}')]
+    rows += [('voter', names.get(n, f'{n}, not there'), '') for n in s['voters']['accepted']]
+    rows += [(key, names.get(r['holder'], f'{r["holder"]}, not there'), f'fence {r["fence"]}')
+             for key, r in sorted(s['duties'].items())]
+    table([('duty', 'holder', 'under')] + rows)
+
+
+def lags(s):
+    """One row a member, by its own word: {'node', 'role', 'cell', 'http', 'generation', 'lease_ms', 'behind', 'lacks'}."""
+    newest = None
+    for node, m in sorted(s['members'].items(), key=lambda kv: (kv[1]['role'], kv[1]['http'])):
+        want = s['generation'][1] if m['role'] == 'core' else s['routes']
+        status, doc = plain.ask(m['http'], 'GET', '/v1/self', wait=2)
+        row = {'node': node, 'role': m['role'], 'cell': m['cell'], 'http': m['http'], 'generation': None, 'lease_ms': None,
+               'behind': None, 'lacks': []}
+        if status == 200:
+            own = doc['state']
+            row.update(generation=own['generation'][1], lease_ms=own['lease_ms'], behind=max(0, want - own['generation'][1]))
+            if row['behind'] and m['role'] != 'core':
+                newest = newest or tables(s['http'])
+                row['lacks'] = differences(newest, tables(m['http']))
+        yield row
+
+
+def tables(at):
+    status, doc = plain.ask(at, 'GET', '/v1/copy', wait=5)
+    return doc['tables'] if status == 200 else {}
+
+
+def differences(newest, here):
+    """What of the operator's word stands otherwise: items with their versions, settings, cells."""
+    out = []
+    for key in sorted({*newest.get('items', {}), *here.get('items', {})}):
+        want, got = newest.get('items', {}).get(key), here.get('items', {}).get(key)
+        if want != got:
+            out.append(f'{key}: has {got["v"] if got else "none"}, newest {want["v"] if want else "none"}')
+    for name in ('conf', 'cells'):
+        a, b = newest.get(name, {}), here.get(name, {})
+        out += [f'{name} {k}' for k in sorted({*a, *b}) if a.get(k) != b.get(k)]
+    return out
+
+
+def do_lag(args):
+    s = must(call('GET', '/v1/status'))['state']
+    rows = list(lags(s))
+    if FLAGS.json:
+        return show(rows)
+    print(f'newest: generation {s["generation"][1]}, of routes {s["routes"]}')
+    table([('member', 'role', 'cell', 'http', 'generation', 'lease', 'behind')] + [
+        (r['node'][:8], r['role'], r['cell'], r['http'], '-' if r['generation'] is None else str(r['generation']),
+         'silent' if r['lease_ms'] is None else f'{r["lease_ms"]} ms' if r['lease_ms'] else 'NONE',
+         '?' if r['behind'] is None else str(r['behind'])) for r in rows])
+    for r in rows:
+        for text in r['lacks']:
+            print(f'{r["http"]}: {text}')
+
+
+def read_lines(names):
+    try:
+        if not names:
+            return list(sys.stdin)
+        lines = []
+        for name in names:
+            with open(name, encoding='utf-8', errors='replace') as f:
+                lines += f
+        return lines
+    except OSError as e:
+        raise Stop(FAILED, str(e))
+
+
+def told(lines, nothing):
+    if not lines:
+        raise Stop(FAILED, nothing)
+    print('\n'.join(lines))
+
+
+def do_trace(args):
+    need(args, 1)
+    told(follow.trace(follow.records(read_lines(args[1:])), args[0]),
+         f'no line tells of {args[0]}: it ended well and was not picked (--trace_share), or these are not its logs')
+
+
+def do_election(args):
+    term = int(args.pop(0)) if args and seam.is_whole(args[0]) else None
+    told(follow.elections(follow.records(read_lines(args)), term), 'no line tells of an election')
 
 
 def table(rows):
@@ -336,9 +438,13 @@
     'wait': do_wait, 'status': do_status, 'get': do_get, 'check': do_check, 'apply': do_apply, 'label': do_label, 'cell': do_cell,
     'evacuate': do_evacuate, 'return': lambda args: do_evacuate(args, False), 'ready': do_ready,
     'self': lambda args: show(must(call('GET', '/v1/self'))['state']),
+    'lag': do_lag, 'duties': do_duties, 'trace': do_trace, 'election': do_election,
     'recover': do_recover, 'lock': do_lock, 'number': do_number, 'key': do_key, 'watch': do_watch,
 }
 
+# What reads files and asks nobody.
+OFFLINE = ('trace', 'election')
+
 
 def run():
     absl.flags.DEFINE_list('at', [], 'IP:PORT of HTTP of any ztcore or ztdir (or ZTCTL_AT).')
@@ -347,7 +453,7 @@
     absl.flags.DEFINE_integer('rev', None, 'The revision a key must be at (0: must not exist).')
     absl.flags.DEFINE_integer('lock_ms', 5000, 'How long a lock is taken for.')
     absl.flags.DEFINE_string('confirm', None, 'recover: the first letters of the cluster that is given up.')
-    absl.flags.DEFINE_bool('json', False, 'status: JSON instead of a table.')
+    absl.flags.DEFINE_bool('json', False, 'status, lag: JSON instead of a table.')
     absl.flags.DEFINE_float('within', 30, 'wait: so many seconds at the most.', lower_bound=0)
     absl.flags.DEFINE_bool('once', False, 'watch: one call only.')
     args = main.parse(__doc__)
@@ -356,7 +462,7 @@
     try:
         if not args or args[0] not in COMMANDS:
             raise Stop(USAGE, f'no command {args[0]}; see --help' if args else 'no command; see --help')
-        if not FLAGS.at or not all(frames.is_addr(a) for a in FLAGS.at):
+        if args[0] not in OFFLINE and (not FLAGS.at or not all(frames.is_addr(a) for a in FLAGS.at)):
             raise Stop(USAGE, '--at: must be IP:PORT[,IP:PORT]')
         COMMANDS[args[0]](args[1:])
     except Stop as e:
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -9,6 +9,8 @@
 import datetime
 import typing
 
+import zinctrail.trace as trace
+
 ZERO = datetime.timedelta(0)
 
 
@@ -105,7 +107,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Log:
+    """A sentence, and what it tells as fields (zinctrail/logs.py)."""
     text: str
+    fields: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,6 +142,7 @@
         self.now = ZERO
         self.out = []
         self.alarms = {}
+        self.tracer = trace.Tracer()
 
     def feed(self, kind: str, now: datetime.timedelta, *args) -> list:
         # Why max: a host's clock is monotonic, but hosts may hand in equal or stale stamps.
@@ -162,5 +167,6 @@
     def send(self, addr, msg, packs=False):
         self.out.append(Send(addr, msg, packs))
 
-    def log(self, text):
-        self.out.append(Log(f'{self.prefix}: {text}'))
+    def log(self, text, event='', **fields):
+        """`event` names the kind of thing that happened; `fields` are what one would look for."""
+        self.out.append(Log(f'{self.prefix}: {text}', {'event': event, **fields} if event else fields))
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -89,6 +89,8 @@
         self.wake_at = None
         self.rids = {}
         self.logs = []
+        # The same with their fields.
+        self.told = []
         self.exited = False
         self.level = None
         # How fast this machine's clock goes; a machine lost for good starts no more.
@@ -212,6 +214,7 @@
 
     def do_log(self, e):
         self.logs.append((self.world.now, e.text))
+        self.told.append((self.world.now, e.text, e.fields))
         self.world.log(f'{self.name}: {e.text}')
 
     def do_done(self, e):
