Generations follow each other without waiting; reads and watches answer from what is in force

A watch took a fence on top of each commit.

Change: up to 16 generations are on their way at once, published in order, each durable on a quorum before its commit, committed in order; answers count for all up to what a voter says it accepted. Tables hold only what is in force, what is accepted waits beside them. A change of the voting set goes alone. Members that are no voters get the next rows once they answered for the last, or after `ack`; nobody else waits for them. A lease goes to who lacked nothing committed before the answer that it rests on, by time. Reads look at what is in force once a round begun after them was answered; watches are answered at the commit. Commits ride on the next publication where there is one.

--- a/features/agree.feature
+++ b/features/agree.feature
@@ -103,7 +103,7 @@
       | term | at   | generation |
       | 3    | 3.10 | 3.10       |
       | 3    | 3.11 | 0.0        |
-      | 3    | 3.9  | 0.0        |
+      | 3    | 3.9  | 3.9        |
       | 2    | 3.10 | 0.0        |
 
   Scenario Outline: A master steps down when it can not go on
--- a/features/size.feature
+++ b/features/size.feature
@@ -42,10 +42,10 @@
     Then within 3200 ms it is no member any more
     And no lease that proxy 7 was given outlasts its last answer by more than 2400 ms
 
-  Scenario: A proxy among many that has not applied a change is granted nothing
+  Scenario: A proxy among many that answers, but has not applied a change, stops a lease after it
     Given a master with 60 proxies that follow it
     When the routes change and proxy 7 never says that it applied them
-    Then no grant goes to proxy 7 from the change on
+    Then no grant to proxy 7 rests on an answer from after the change
 
   Scenario: A master that was started again counts its rounds anew, and old answers grant nothing
     Given a proxy that follows b
--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -98,7 +98,7 @@
     'chk': {'to': text, 'term': count, 'round': count, 'ack_': count, 'pace_ms_': count},
     'chk_re': {'term': count, 'round': count, 'no_': flag, 'accepted_': pair, 'committed_': pair, 'beats_': many(text)},
     'grant': {'term': count, 'ack': count},
-    'pub': {'term': count, 'at': pair, 'base_': maybe(pair), 'via_': many(pair), 'rows_': many(row),
+    'pub': {'term': count, 'at': pair, 'base_': maybe(pair), 'via_': many(pair), 'rows_': many(row), 'com_': maybe(pair),
             'full_': table(table(any_))},
     'pub_re': {'term': count, 'at': pair, 'ok': flag, 'accepted_': pair},
     'com': {'term': count, 'at': pair},
--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -89,6 +89,8 @@
     while rep.accepted in nexts:
         at = nexts[rep.accepted]
         rep.accept(at, rows=docs[gen_name(at)]['rows'])
+    # Why folded: nobody here knows any more which of them are committed.
+    rep.settle()
     newest = max([(d['term'], d['gen']) for d in docs.values()], default=(0, 0))
     # Why: a hole in the chain means something acknowledged is gone.
     if rep.accepted < newest or (newest > (0, 0) and 'term' not in files) or newest[0] > term['term']:
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -374,6 +374,8 @@
         else:
             ok = False
         self.tell(env['a'], 'pub_re', term=self.term, at=at, ok=ok, accepted=self.rep.accepted)
+        if env.get('com'):
+            self.commit(tup(env['com']))
 
     def keep(self, at, base, rows, full):
         """Voters make it durable; nobody else has a disk."""
@@ -381,11 +383,16 @@
     def m_com(self, env):
         if not self.follow(env):
             return
-        at = tup(env['at'])
-        if self.rep.accepted == at:
-            if self.rep.committed != at:
-                self.took(self.rep.commit(at))
-            self.tell(env['a'], 'com_re', term=self.term, at=at)
+        self.commit(tup(env['at']))
+        if self.role != 'core':
+            # Why not from voters: their answers to checks tell it soon enough.
+            self.tell(env['a'], 'com_re', term=self.term, at=self.rep.committed)
+
+    def commit(self, at):
+        before = self.rep.committed
+        rows = self.rep.commit(at)
+        if self.rep.committed != before:
+            self.took(rows)
 
     def took(self, rows):
         """Rows came into force (None: all of them)."""
--- a/zinctrail/agree/replica.py
+++ b/zinctrail/agree/replica.py
@@ -21,18 +21,21 @@
 
 
 class Replica:
-    """What one node accepted last, and how much of it is known to be committed.
+    """What one node accepted, and how much of it is known to be committed.
 
-    `tables` holds everything but the newest accepted generation, whose rows
-    wait in `pending` until it is committed or built upon.
+    `tables` holds what is in force; generations accepted since wait in
+    `pending`, [(at, rows)] with the oldest first, until they are committed.
     """
 
     def __init__(self):
         self.tables = {}
         self.pending = []
+        # What the rows of `pending` come to: {table: {key: value}}.
+        self.ahead = {}
         self.accepted = (0, 0)
         self.committed = (0, 0)
-        self.unsaid = []
+        # The generation that `tables` stands for.
+        self.settled = (0, 0)
         self.full_unsaid = False
 
     def get(self, table, key=None):
@@ -41,14 +44,19 @@
 
     def latest(self, table, key):
         """As `get`, with the accepted but uncommitted rows in force."""
-        for t, k, val in reversed(self.pending):
-            if t == table and k == key:
-                return val
-        return self.get(table, key)
+        ahead = self.ahead.get(table)
+        if ahead and key in ahead:
+            return ahead[key]
+        return self.tables.get(table, {}).get(key)
+
+    def whole_of(self, table):
+        """The rows of one table, the uncommitted ones in force; a copy. Forgotten keys may stand as None."""
+        return {**self.tables.get(table, {}), **self.ahead.get(table, {})}
 
     def whole(self, routes=False):
         tables = {t: dict(rows) for t, rows in self.tables.items() if not routes or t in ROUTES}
-        fold(tables, routes_of(self.pending) if routes else self.pending)
+        for _, rows in self.pending:
+            fold(tables, routes_of(rows) if routes else rows)
         return tables
 
     def fits(self, at, base, full):
@@ -59,29 +67,39 @@
     def accept(self, at, rows=None, full=None):
         if full is not None:
             self.tables = full
-            self.pending = []
-            self.unsaid = []
+            self.pending, self.ahead = [], {}
+            self.settled = at
             self.full_unsaid = True
         else:
-            self.settle()
-            self.pending = rows
+            self.pending.append((at, rows))
+            self.look_ahead(rows)
         self.accepted = at
 
-    def settle(self):
-        fold(self.tables, self.pending)
-        self.unsaid.extend(self.pending)
-        self.pending = []
+    def look_ahead(self, rows):
+        for table, key, val in rows:
+            self.ahead.setdefault(table, {})[key] = val
+
+    def settle(self, at=None):
+        """Fold what is pending, up to and with `at`, into the tables; returns its rows."""
+        said = []
+        while self.pending and (at is None or self.settled != at):
+            self.settled, rows = self.pending.pop(0)
+            fold(self.tables, rows)
+            said.extend(rows)
+        self.ahead = {}
+        for _, rows in self.pending:
+            self.look_ahead(rows)
+        return said
 
     def commit(self, at):
-        """Take the accepted generation into force.
+        """Take all up to and with an accepted generation into force.
 
         Returns the rows that came into force, or None for everything at once.
         """
-        if at != self.accepted or at == self.committed:
+        if at <= self.committed or (at != self.settled and all(a != at for a, _ in self.pending)):
             return []
-        self.settle()
+        rows = self.settle(at) if at != self.settled else []
         self.committed = at
-        rows, self.unsaid = self.unsaid, []
         if self.full_unsaid:
             self.full_unsaid = False
             return None
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -24,11 +24,14 @@
 UNSURE = {'status': 421, 'unknown': True, 'fault': 'not the master any more'}
 # How many outcomes a master remembers of what it was asked, and for how long.
 TOLD_MOST = 4096
+# How many generations may be on their way at once, and how many a master keeps to send on.
+FLIGHTS_MOST = 16
+CHANGES_MOST = 2048
 TOLD = seam.ms(10000)
 
 
 class Txn:
-    """One generation being computed: reads see what it wrote so far."""
+    """One generation being computed: reads see what it wrote so far, and all that was accepted before it."""
 
     def __init__(self, rep, at, now):
         self.rep = rep
@@ -41,7 +44,13 @@
     def get(self, table, key):
         if (table, key) in self.new:
             return self.new[table, key]
-        return self.rep.get(table, key)
+        return self.old(table, key)
+
+    def old(self, table, key):
+        return self.rep.latest(table, key)
+
+    def old_rows(self, table):
+        return self.rep.whole_of(table)
 
     def put(self, table, key, val):
         if self.get(table, key) != val:
@@ -53,7 +62,7 @@
         self.put(table, key, None)
 
     def items(self, table):
-        rows = dict(self.rep.get(table))
+        rows = self.old_rows(table)
         for (t, k), val in self.new.items():
             if t == table:
                 rows[k] = val
@@ -75,7 +84,17 @@
             self.trail = None
 
     def rows(self):
-        return [[t, k, v] for (t, k), v in self.new.items() if self.rep.get(t, k) != v]
+        return [[t, k, v] for (t, k), v in self.new.items() if self.old(t, k) != v]
+
+
+class View(Txn):
+    """What is in force, for who only reads."""
+
+    def old(self, table, key):
+        return self.rep.get(table, key)
+
+    def old_rows(self, table):
+        return dict(self.rep.get(table))
 
 
 class Peer:
@@ -87,14 +106,21 @@
         self.role = row['role']
         self.level = row.get('level', 1)
         self.accepted = None
+        # What was sent last and is counted on to arrive; None where it has to be found out.
+        self.sent = None
+        # Up to where it was told what is committed, and knows it.
+        self.told = (0, 0)
         self.committed = (0, 0)
+        # The last round that it answered, and when that came.
         self.acked = 0
+        self.acked_at = now
         self.ack_at = now
         self.offered = seam.ZERO
         # When it was last sent a check.
         self.checked = seam.ZERO
-        # The newest answer of its that a lease may rest on; when it was last granted one.
+        # The newest answer of its that a lease may rest on, and when that came; when it was last granted one.
         self.good = 0
+        self.good_at = now
         self.granted = None
 
 
@@ -135,9 +161,15 @@
         # Publications of the newest generation: {(accepted, at, whether to a control node, base): frame}.
         self.offers = {}
         self.tasks = []
-        self.flight = None
+        # Generations on their way to a quorum, the oldest first.
+        self.flights = collections.deque()
+        self.pumped_at = None
+        # Whether the voting set is to change: nothing new is published until all is committed.
+        self.settling = False
         self.fences = []
-        self.changes = collections.deque(maxlen=512)
+        self.changes = collections.deque(maxlen=CHANGES_MOST)
+        # The generations that were committed: (at, when, whether routes changed).
+        self.commits = collections.deque(maxlen=CHANGES_MOST)
         self.round = 0
         self.rounds = {}
         self.quorum_at = seam.ZERO
@@ -503,19 +535,21 @@
         self.tries = 0
         for a in ('lead', 'elect'):
             self.alarms.pop(a, None)
-        self.rep.settle()
         self.peers = {}
         self.tasks = []
-        self.flight = None
+        self.flights.clear()
+        self.pumped_at = None
+        self.settling = False
         self.fences = []
         self.changes.clear()
+        self.commits.clear()
         self.offers = {}
         self.faulty = {}
         self.vc_gone = {}
         self.rounds = {}
         self.quorum_at = self.now
         self.quorum_round = self.round
-        for node, row in self.rep.get('members').items():
+        for node, row in self.rep.whole().get('members', {}).items():
             if node != self.node:
                 self.peers[node] = Peer(node, row, self.now)
         joins[self.node] = self.member()
@@ -543,14 +577,14 @@
         self.log(f'Steps down from term {self.term}: {why}.', 'down', term=self.term, why=why)
         self.mode = 'candidate'
         self.master = None
-        for a in ('chk', 'pub', 'ack'):
+        for a in ('chk', 'pub', 'pump'):
             self.alarms.pop(a, None)
-        flight, self.flight = self.flight, None
+        flights, self.flights = self.flights, collections.deque()
         tasks, self.tasks = self.tasks, []
         fences, self.fences = self.fences, []
-        if flight and not flight['done']:
-            for cb, _ in flight['results']:
-                cb(LOST)
+        for f in flights:
+            for cb, _, lost in f['results']:
+                cb(lost)
         for _, cb in tasks:
             cb(NO_MASTER)
         for _, cb in fences:
@@ -582,28 +616,40 @@
             self.pump()
 
     def pump(self):
-        """Compute the next generation from all that waits."""
-        if self.mode != 'leader' or self.flight or not self.tasks:
+        """Compute the next generation from all that waits, as soon as one may follow the last."""
+        if self.mode != 'leader' or not self.tasks or self.settling or len(self.flights) >= FLIGHTS_MOST:
+            return
+        # Why nothing follows a change of the voting set: each set's quorums must know of the one before.
+        if any(f['vc_row'] for f in self.flights):
             return
+        # Why apart: what comes at about the same time shares a publication.
+        if self.pumped_at is not None and self.now < self.pumped_at + self.bounds.gather:
+            self.alarms.setdefault('pump', self.pumped_at + self.bounds.gather)
+            return
+        self.alarms.pop('pump', None)
+        self.pumped_at = self.now
+        self.publish()
+
+    def alarm_pump(self):
+        self.pump()
+
+    def publish(self):
         tasks, self.tasks = self.tasks, []
         at = (self.term, self.rep.accepted[1] + 1)
         txn = Txn(self.rep, at, self.now)
-        results = [(cb, txn.run(fn)) for fn, cb in tasks]
+        results = [(cb, txn.run(fn), LOST) for fn, cb in tasks]
         rows = txn.rows()
         if not rows:
-            # Why fenced: an outcome that changes nothing is a read, and we may be deposed.
-            def said(ok):
-                for cb, res in results:
-                    cb(res if ok else UNSURE)
-            self.fence(said)
+            self.unchanged([(cb, res, UNSURE) for cb, res, _ in results])
             return
         routes = replica.routes_of(rows)
         if routes:
             rows.append(['meta', 'routes', list(at)])
-        base, base_routes = self.rep.accepted, tup(self.rep.get('meta', 'routes'))
+        base, base_routes = self.rep.accepted, tup(self.rep.latest('meta', 'routes'))
         self.rep.accept(at, rows=rows)
-        self.flight = {'at': at, 'rows': rows, 'routes': bool(routes), 'results': results, 'vc': self.vc(),
-                       'answered': {self.node}, 'done': False, 'acks': set(), 'base': base}
+        self.flights.append({'at': at, 'rows': rows, 'routes': bool(routes), 'results': results, 'vc': self.vc(),
+                             'answered': {self.node}, 'since': self.now,
+                             'vc_row': any(r[:2] == ['meta', 'vc'] for r in rows)})
         self.changes.append((base, base_routes, at, rows, bool(routes)))
         self.counts['generations'] += 1
         # Why before the commit: a newcomer's answer may be the one that makes the quorum.
@@ -611,13 +657,48 @@
             if table == 'members' and row:
                 self.add_peer(node, row)
         for p in self.peers.values():
-            if p.role == 'core' or routes:
+            if p.role == 'core' or (routes and not self.busy(p)):
                 self.offer(p)
         # Why after the sends: theirs and ours may be written at the same time; ours counts when done.
         self.keep(at, base, rows, None)
-        self.alarm('pub', self.bounds.publish)
+        if len(self.flights) == 1:
+            self.alarm('pub', self.bounds.publish)
         self.check_commit()
 
+    def busy(self, p):
+        """Whether a member that is no voter has not yet answered for the last it was sent."""
+        # Why waited for, a while: what changes meanwhile goes to it in one piece, and none holds up the others.
+        return p.sent is not None and p.sent != p.accepted and self.now - p.offered < self.bounds.ack
+
+    def unchanged(self, results):
+        """Outcomes that change nothing are reads: told once we were master after they came, and all they saw is
+        committed."""
+        seen = self.rep.accepted
+
+        def said(ok):
+            for f in self.flights if ok else ():
+                if f['at'] == seen:
+                    f['results'].extend(results)
+                    return
+            for cb, res, lost in results:
+                cb(res if ok else lost)
+        self.fence(said)
+
+    def read(self, fn, cb):
+        """cb(fn(view)) of what is in force once we are known to be master after now."""
+        def look(ok):
+            if ok and self.mode == 'leader':
+                cb(View(self.rep, self.rep.committed, self.now).run(fn))
+            else:
+                cb(NO_MASTER)
+        if self.mode == 'leader' and self.rep.committed[0] != self.term:
+            # Why wait: until our first generation is in force, what was acknowledged before us may not be.
+            self.submit(lambda txn: {'status': 200}, lambda res: self.read(fn, cb) if res['status'] == 200 else cb(res))
+        elif self.mode == 'leader':
+            self.fence(look)
+        else:
+            cb(NO_MASTER)
+
     def latest_for(self, p):
         if p.role == 'core':
             return self.rep.accepted
@@ -638,24 +719,30 @@
         """Send a member what it lacks: the changes since what it has, or everything."""
         at = self.latest_for(p)
         core = p.role == 'core'
-        p.offered = self.now
+        base = p.sent or p.accepted
+        # Why with it: a voter learns what is committed without a frame of its own.
+        com = self.rep.committed if core and self.rep.committed[0] == self.term else None
+        p.offered, p.sent, p.told = self.now, at, com or p.told
         # Why shared: most members lack the same, and it is written once for all of them.
-        key = (self.rep.accepted, at, core, p.accepted)
+        key = (self.rep.accepted, at, core, base, com)
         if key not in self.offers:
             self.offers = {k: msg for k, msg in self.offers.items() if k[0] == self.rep.accepted}
-            self.offers[key] = self.publication(at, core, p.accepted)
+            self.offers[key] = self.publication(at, core, base, com)
         msg = self.offers[key]
         if 'full' in msg:
             self.counts['full'] += 1
         self.send(p.addr, msg, p.level >= 2)
 
-    def publication(self, at, core, base):
+    def publication(self, at, core, base, com):
         found = self.since(base, core) if base else None
-        if found:
+        more = {'com': com} if com else {}
+        if not found:
+            return self.frame('pub', term=self.term, at=at, full=self.rep.whole(routes=not core),
+                              http=self.place.http, **more)
+        if found[1]:
             # Why what lies between is told: it may have taken that meanwhile, and rows are whole values.
-            return self.frame('pub', term=self.term, at=at, base=base, via=found[1], rows=found[0],
-                              http=self.place.http)
-        return self.frame('pub', term=self.term, at=at, full=self.rep.whole(routes=not core), http=self.place.http)
+            more['via'] = found[1]
+        return self.frame('pub', term=self.term, at=at, base=base, rows=found[0], http=self.place.http, **more)
 
     def m_pub_re(self, env):
         if env['term'] > self.term:
@@ -664,74 +751,78 @@
         p = self.peers.get(env['f'])
         if self.mode != 'leader' or p is None or env['term'] < self.term:
             return
-        at = tup(env['at'])
-        p.accepted = tup(env['accepted'])
-        if not env['ok']:
-            if p.accepted < self.latest_for(p):
-                self.offer(p)
+        p.accepted = max(p.accepted or (0, 0), tup(env['accepted'])) if env['ok'] else tup(env['accepted'])
+        if not env['ok'] and tup(env['at']) == p.sent:
+            # Why only for the last: each of those on their way before it was refused, too.
+            p.sent, p.told = None, (0, 0)
+        self.answered(p)
+        if self.mode != 'leader' or p.node not in self.peers:
             return
-        f = self.flight
-        if f and not f['done'] and at == f['at']:
-            f['answered'].add(p.node)
-            self.check_commit()
-        else:
-            self.tell_commit(p)
+        # Why voters only where it is unknown what they get: all is on its way to them.
+        if p.accepted != self.latest_for(p) and (p.sent is None or (p.role != 'core' and p.sent == p.accepted)):
+            self.offer(p)
+        self.tell_commit(p)
+
+    def answered(self, p):
+        """It has all up to what it says it accepted: one master a term makes one line of generations."""
+        if p.accepted[0] == self.term:
+            news = False
+            for f in self.flights:
+                if f['at'] > p.accepted:
+                    break
+                if p.node not in f['answered']:
+                    f['answered'].add(p.node)
+                    news = True
+            if news:
+                self.check_commit()
 
     def tell_commit(self, p):
-        at = p.accepted
-        if at == self.latest_for(p) and not (self.flight and not self.flight['done'] and at == self.flight['at']):
+        """Tell a member what is committed of what it has."""
+        if p.accepted is None:
+            return
+        if p.accepted[0] == self.term:
+            at = min(p.accepted, self.rep.committed)
+        else:
+            # Why only that: of an older term it may hold what never was committed.
+            at = p.accepted if p.accepted == self.latest_for(p) else (0, 0)
+        if at > p.told and at <= self.rep.committed and (p.role == 'core' or at == p.accepted):
+            p.told = at
             self.tell(p.addr, 'com', term=self.term, at=at, http=self.place.http)
 
     def check_commit(self):
-        f = self.flight
-        if f['done'] or not replica.quorum_both(f['answered'], f['vc']):
+        done = []
+        while self.flights and replica.quorum_both(self.flights[0]['answered'], self.flights[0]['vc']):
+            done.append(self.flights.popleft())
+        if not done:
             return
-        f['done'] = True
-        self.alarms.pop('pub', None)
-        self.took(self.rep.commit(f['at']))
-        for node in sorted(f['answered']):
-            if node in self.peers:
-                self.tell_commit(self.peers[node])
-        for cb, res in f['results']:
-            cb(res)
+        if self.flights:
+            self.alarms['pub'] = self.flights[0]['since'] + self.bounds.publish
+        else:
+            self.alarms.pop('pub', None)
+        for f in done:
+            self.commits.append((f['at'], self.now, f['routes']))
+        self.took(self.rep.commit(done[-1]['at']))
+        for f in done:
+            for cb, res, _ in f['results']:
+                cb(res)
         if self.mode != 'leader':
             return
-        self.sync_peers()
-        if f['routes']:
-            self.alarm('ack', self.bounds.ack)
-            self.check_acks()
-        else:
-            self.flown()
-
-    def check_acks(self):
-        f = self.flight
-        if f and f['done'] and all(n in f['acks'] for n, p in self.peers.items()
-                                   if p.ack_at >= self.now - self.pace(p) * 2):
-            self.flown()
-
-    def alarm_ack(self):
-        # Why move on: one slow member must not hold up the others; its lease bounds it instead.
-        if self.flight and self.flight['done']:
-            self.flown()
-
-    def flown(self):
-        self.alarms.pop('ack', None)
-        self.flight = None
-        self.reconfigure()
+        if any(r[0] == 'members' for f in done for r in f['rows']):
+            self.sync_peers()
+        if self.settling or any(f['routes'] for f in done):
+            self.reconfigure()
+        # Why first: what is published now tells of the commit, too.
         self.pump()
+        for p in list(self.peers.values()):
+            self.tell_commit(p)
 
     def m_com_re(self, env):
         p = self.peers.get(env['f'])
-        if self.mode != 'leader' or p is None or env['term'] != self.term:
-            return
-        p.committed = tup(env['at'])
-        f = self.flight
-        if f and p.committed == f['at']:
-            f['acks'].add(p.node)
-            self.check_acks()
+        if self.mode == 'leader' and p is not None and env['term'] == self.term:
+            p.committed = max(p.committed, tup(env['at']))
 
     def alarm_pub(self):
-        if self.mode == 'leader' and self.flight and not self.flight['done']:
+        if self.mode == 'leader' and self.flights:
             self.step_down('no quorum for a generation')
 
     def deposed(self, term):
@@ -765,7 +856,7 @@
         p.checked = self.now
         # Why told: it may be silent for no longer before the member looks for another master.
         more = {'pace_ms': seam.to_ms(self.pace(p))} if p.role != 'core' else {}
-        if self.folds(p) and p.good and self.up_to_date(p):
+        if self.folds(p) and p.good and self.had_all(p, p.good_at):
             more['ack'] = p.good
             p.granted = self.now
         self.tell(p.addr, 'chk', term=self.term, to=p.node, round=self.round, http=self.place.http, **more)
@@ -780,8 +871,9 @@
     def start_round(self, everyone):
         self.round += 1
         # Why who was heard is noted now: a lease may only rest on answers from before the round began.
-        self.rounds[self.round] = {'start': self.now, 'answered': {self.node}, 'everyone': everyone, 'fence': 0,
-                                   'heard': {n: p.acked for n, p in self.peers.items()}}
+        self.rounds[self.round] = {'start': self.now, 'answered': {self.node}, 'everyone': everyone,
+                                   'heard': {n: (p.acked, p.acked_at) for n, p in self.peers.items()},
+                                   'granted': None}
         for q in [q for q in self.rounds if q < self.round - 20]:
             del self.rounds[q]
         for p in self.peers.values():
@@ -799,25 +891,35 @@
         if self.mode != 'leader' or p is None or env['term'] != self.term:
             return
         p.ack_at = self.now
-        p.acked = max(p.acked, env['round'])
-        p.accepted = tup(env['accepted'])
-        p.committed = tup(env['committed'])
+        if env['round'] > p.acked:
+            p.acked, p.acked_at = env['round'], self.now
+        p.accepted = max(p.accepted or (0, 0), tup(env['accepted']))
+        p.committed = max(p.committed, tup(env['committed']))
+        self.answered(p)
         self.catch_up(p)
         r = self.rounds.get(env['round'])
         if r and p.node not in r['answered']:
             r['answered'].add(p.node)
             if p.role == 'core':
                 self.round_answered(env['round'])
+            if r['granted'] is not None:
+                self.grant(p, r)
 
     def catch_up(self, p):
         # Why a pause: what it lacks may be on its way to it.
         if self.now - p.offered < self.bounds.check / 2:
             return
         if p.accepted != self.latest_for(p):
+            p.sent, p.told = None, (0, 0)
             self.offer(p)
-        elif p.committed != p.accepted:
+        elif p.committed < self.known_to(p):
+            p.told = (0, 0)
             self.tell_commit(p)
 
+    def known_to(self, p):
+        """What a member should know by now to be committed."""
+        return self.rep.committed if p.role == 'core' else tup(self.rep.get('meta', 'routes'))
+
     def round_answered(self, q):
         r = self.rounds[q]
         if q <= self.quorum_round or not replica.quorum_both(r['answered'], self.vc()):
@@ -826,23 +928,36 @@
         self.quorum_at = max(self.quorum_at, r['start'])
         # Why none before our first generation: what we lead from may be behind.
         if self.rep.committed[0] == self.term:
-            for n, p in self.peers.items():
-                p.good = max(p.good, r['heard'].get(n) or 0)
-                if r['everyone'] and p.good and not self.folds(p) and self.up_to_date(p):
-                    p.granted = self.now
-                    self.tell(p.addr, 'grant', term=self.term, ack=p.good)
+            r['granted'] = set() if r['everyone'] else None
+            for p in self.peers.values():
+                ack, at = r['heard'].get(p.node, (0, None))
+                if ack > p.good:
+                    p.good, p.good_at = ack, at
+                if r['everyone']:
+                    self.grant(p, r)
         ready = [cb for need, cb in self.fences if need <= q]
         self.fences = [(need, cb) for need, cb in self.fences if need > q]
         for cb in ready:
             cb(True)
 
-    def up_to_date(self, p):
-        if p.role == 'core':
-            return self.nearly(p)
-        f = self.flight
-        if f and f['routes'] and not f['done']:
-            return p.committed >= tup(self.rep.get('meta', 'routes'))
-        return p.committed == tup(self.rep.latest('meta', 'routes'))
+    def grant(self, p, r):
+        """A lease for who answered before the round began, and lacked nothing yet when it did."""
+        if p.good and p.node not in r['granted'] and not self.folds(p) and self.had_all(p, p.good_at):
+            r['granted'].add(p.node)
+            p.granted = self.now
+            self.tell(p.addr, 'grant', term=self.term, ack=p.good)
+
+    def had_all(self, p, when):
+        """Whether nothing that a member lacks now was committed before `when`."""
+        # Why by time: a generation is always on its way, and who lacks it must stop a lease after its commit.
+        if p.committed[0] != self.term:
+            return False
+        for at, since, routes in reversed(self.commits):
+            if at <= p.committed:
+                break
+            if since < when and (routes or p.role == 'core'):
+                return False
+        return True
 
     def fence(self, cb):
         """cb(True) once a quorum has answered a round begun after now; cb(False) if deposed."""
@@ -866,6 +981,7 @@
             if p:
                 if p.accepted != self.latest_for(p):
                     self.offer(p)
+                self.tell_commit(p)
                 self.check_member(p)
 
     def add_peer(self, node, row):
@@ -887,7 +1003,7 @@
         p = self.peers.get(env['f'])
         self.joined_at[env['f']] = tup(env['accepted'])
         if p is not None:
-            p.accepted = tup(env['accepted'])
+            p.accepted, p.sent, p.told = tup(env['accepted']), None, (0, 0)
             p.ack_at = self.now
             self.catch_up(p)
             return
@@ -926,15 +1042,22 @@
     def reconfigure(self):
         """One step towards a voting set that survives the most."""
         vc = self.rep.get('meta', 'vc')
-        if self.mode != 'leader' or self.flight or not vc or self.rep.committed[0] != self.term:
+        self.settling, was = False, self.settling
+        if self.mode != 'leader' or not vc or self.rep.committed[0] != self.term:
             return
         if vc['committed'] != vc['accepted']:
             done = {'committed': vc['accepted'], 'accepted': vc['accepted']}
         else:
             want = self.want_voters(vc['accepted'])
             if want == vc['accepted']:
+                if was:
+                    self.pump()
                 return
             done = {'committed': vc['accepted'], 'accepted': want}
+        if self.flights:
+            # Why first: a set may only follow generations that the set before it has committed.
+            self.settling = True
+            return
 
         def change(txn):
             if txn.get('meta', 'vc') == vc:
@@ -944,8 +1067,9 @@
         self.submit(change, lambda res: None)
 
     def nearly(self, p):
-        # Why not equal: under load the newest generation is always still on its way.
-        return p.committed[0] == self.term and self.rep.committed[1] - p.committed[1] <= 8
+        # Why not equal: under load the newest generations are always still on their way.
+        return p.accepted is not None and p.accepted[0] == self.term \
+            and self.rep.accepted[1] - p.accepted[1] <= 2 * FLIGHTS_MOST
 
     def want_voters(self, now_set):
         members = self.rep.get('members')
@@ -1095,7 +1219,8 @@
                  members={n: {**row, 'ack_ms': partner.age(self.now, self.peers[n].ack_at) if n in self.peers else 0,
                               'generation': list(self.peers[n].committed) if n in self.peers else
                               list(self.rep.committed),
-                              'leased': n == self.node or (n in self.peers and self.up_to_date(self.peers[n])
+                              'leased': n == self.node or (n in self.peers
+                                                           and self.had_all(self.peers[n], self.peers[n].acked_at)
                                                            and self.now - self.peers[n].ack_at < self.bounds.lease)}
                           for n, row in self.rep.get('members').items()} if self.mode == 'leader' else
                  dict(self.rep.get('members')))
--- a/zinctrail/bounds.py
+++ b/zinctrail/bounds.py
@@ -25,6 +25,8 @@
     answer: datetime.timedelta = ms(2000)
     publish: datetime.timedelta = ms(1200)
     ack: datetime.timedelta = ms(200)
+    # The least time between two generations: what comes in it is gathered into one.
+    gather: datetime.timedelta = ms(8)
     elect: datetime.timedelta = ms(150)
     elect_most: datetime.timedelta = ms(1500)
     epoch: datetime.timedelta = ms(10000)
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -204,7 +204,7 @@
         if seq is not None:
             self.seqs[inc] = seq
         self.beats[inc] = self.now
-        if says(self.rep.get('endpoints', inc), row) and not self.flight:
+        if says(self.rep.get('endpoints', inc), row) and says(self.rep.latest('endpoints', inc), row):
             cb({'status': 200, 'epoch': self.rep.get('meta', 'epoch') or 0})
             return
 
@@ -415,6 +415,8 @@
             elif op in coord.OPS:
                 if op in WATCHES:
                     self.serve_watch(op, args, cb)
+                elif op in READS:
+                    self.read(lambda txn: coord.run(self, txn, op, args), cb)
                 else:
                     self.submit(lambda txn: coord.run(self, txn, op, args), cb)
             else:
@@ -441,7 +443,8 @@
 
         def done(res):
             if res['status'] == 200 and wait:
-                self.waits.append({'at': self.rep.committed, 'since': self.now, 'cb': cb, 'res': res})
+                self.waits.append({'at': partner.tup(self.rep.get('meta', 'routes')), 'since': self.now, 'cb': cb,
+                                   'res': res})
                 self.tick_waits()
             else:
                 cb(res)
@@ -470,7 +473,7 @@
         def read(txn):
             return {'status': 200, 'generation': txn.get('meta', 'conf') or 0,
                     'config': config.from_rows(txn.items('conf'), txn.items('cells'))}
-        self.submit(read, cb)
+        self.read(read, cb)
 
     def serve_check(self, args, cb):
         bad = config.check(args.get('config'))
@@ -501,7 +504,7 @@
         self.submit(lambda txn: items.apply(txn, args.get('change')), cb)
 
     def serve_items_get(self, args, cb):
-        self.submit(lambda txn: {'status': 200, 'items': items.read(txn), 'generation': txn.gen}, cb)
+        self.read(lambda txn: {'status': 200, 'items': items.read(txn), 'generation': txn.gen}, cb)
 
     def serve_empty(self, args, cb):
         """Send nothing more to a cell's endpoints, or take that back; its proxies go on."""
@@ -530,28 +533,36 @@
         w = {'op': op, 'args': args, 'cb': cb, 'until': self.now + seam.ms(wait)}
         if len(self.watches) >= self.bounds.queue_most:
             raise faults.CallFault(503, 'too many watches', retry_ms=1000)
-        self.look(w)
-
-    def look(self, w):
-        def seen(res):
-            if res['status'] == 200 and not res['events'] and self.now < w['until'] and self.mode == 'leader' \
-                    and (w['op'] == 'key.watch' or w['args'].get('since')):
-                if w['op'] == 'key.watch':
-                    # Why from the head: nothing up to there was for this watch.
-                    w['args'] = dict(w['args'], since=max(w['args'].get('since', 0), res['head']))
-                self.watches.append(w)
-            else:
-                w['cb'](res)
-        self.submit(lambda txn: coord.run(self, txn, w['op'], w['args']), seen)
+        self.read(lambda view: coord.run(self, view, op, args), lambda res: self.looked(w, res))
+
+    def looked(self, w, res):
+        """Answer a watch, or keep it while there is nothing for it."""
+        if res['status'] == 200 and not res['events'] and self.now < w['until'] and self.mode == 'leader' \
+                and (w['op'] == 'key.watch' or w['args'].get('since')):
+            if w['op'] == 'key.watch':
+                # Why from the head: nothing up to there was for this watch.
+                w['args'] = dict(w['args'], since=max(w['args'].get('since', 0), res['head']))
+            self.watches.append(w)
+        else:
+            w['cb'](res)
 
     def alarm_events(self):
+        """Something came into force that watches may wait for."""
         watches, self.watches = self.watches, []
+        view = voter.View(self.rep, self.rep.committed, self.now)
         for w in watches:
-            self.look(w)
+            # Why not fenced: what is committed stays so, whoever leads; that there is nothing is told fenced.
+            res = view.run(lambda txn: coord.run(self, txn, w['op'], w['args']))
+            if res['status'] != 200 or res['events']:
+                w['cb'](res)
+            else:
+                self.watches.append(w)
 
     def tick_watches(self):
-        if any(w['until'] <= self.now for w in self.watches):
-            self.alarm_events()
+        over = [w for w in self.watches if w['until'] <= self.now]
+        self.watches = [w for w in self.watches if w['until'] > self.now]
+        for w in over:
+            self.read(lambda view, w=w: coord.run(self, view, w['op'], w['args']), w['cb'])
 
 
 WATCHES = ('key.watch', 'cell.watch')
