A new master publishes nothing before its first generation is in force

Since generations follow without waiting, the second of a term could be computed before the master had counted its locks anew: who held them was not known.

Change: the first generation of a term goes alone. A row of control.feature fails without it (y is given x's lock).

--- a/features/control.feature
+++ b/features/control.feature
@@ -55,6 +55,12 @@
       | renews lock l  | the master changes |
       | takes lock l   | nothing happens    |
 
+  Scenario: A new master gives no lock away before it knows who holds it
+    Given a control node that leads
+    When x holds lock l for 5000 ms
+    And the master changes, and y asks for lock l before the new one's first generation is in force
+    Then y is told 409
+
   Scenario Outline: Late beats undo nothing
     Given a control node that leads
     When the beats <beats> come of endpoints as number state
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -314,3 +314,23 @@
 def _(context, warmth):
     row = context.node.m.rep.get('endpoints', 'p')
     assert ('cold' if row['chill'] else 'warm') == warmth, row
+
+
+@behave.when("the master changes, and y asks for lock l before the new one's first generation is in force")
+def _(context):
+    node, context.got = context.node, []
+    node.m.step_down('test')
+    node.m.lock_until = {}
+    node.lead()
+    node.m.serve('lock.hold', {'name': 'l', 'holder': 'y', 'lease_ms': 1000}, context.got.append)
+    node.run(20)
+    assert node.m.rep.committed[0] != node.m.term
+    at = node.m.rep.accepted
+    node.mute = False
+    node.recv('b', 'pub_re', term=node.m.term, at=at, ok=True, accepted=at)
+    node.run(400)
+
+
+@behave.then('y is told {status:d}')
+def _(context, status):
+    assert [res['status'] for res in context.got] == [status], context.got
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -619,6 +619,9 @@
         """Compute the next generation from all that waits, as soon as one may follow the last."""
         if self.mode != 'leader' or not self.tasks or self.settling or len(self.flights) >= FLIGHTS_MOST:
             return
+        # Why alone: what a master keeps beside the state, as of locks and beats, begins with its first generation.
+        if self.flights and self.rep.committed[0] != self.term:
+            return
         # Why nothing follows a change of the voting set: each set's quorums must know of the one before.
         if any(f['vc_row'] for f in self.flights):
             return
