--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -4,7 +4,7 @@
 header what it surely did not run, and refuses what names another incarnation.
 What it was sent and did not refuse may have run. Each id is one attempt of
 its caller and reaches one proxy, so an attempt that may run at most once is
-never sent on after it may have run (docs/notes/platform.md).
+never sent on after it may have run (docs/notes/open-traffic.md).
 """
 
 import collections
