--- a/features/steps/doubts_steps.py
+++ b/features/steps/doubts_steps.py
@@ -4,7 +4,9 @@
 import twisted.internet.defer as defer
 import twisted.internet.task as task
 
+import open_steps
 import size_steps
+import zinctrail.ctl.doubts as doubts
 import zinctrail.edge.dialect as dialect
 import zinctrail.edge.host as host
 import zinctrail.seam as seam
@@ -74,3 +76,135 @@
 def _(context):
     (kind, (fid, res)), = context.got
     assert kind == 'fetched' and res.headers['zt-inc'] == 'e1', res
+
+
+@behave.given('a service of {ends:d} endpoints before {proxies:d} proxies')
+def _(context, ends, proxies):
+    context.at, context.proxies = ms(100000), proxies
+    context.ends = {f'e{i}': dict(ROW, addr=f'10.0.9.{i}:80') for i in range(ends)}
+    context.doubts = doubts.Doubts()
+
+
+@behave.when('{n:d} proxies tell of {failed:d} failures and {served:d} served')
+def _(context, n, failed, served):
+    for i in range(n):
+        # Why as even as it goes: the sums are what is asked.
+        context.doubts.take(context.at, f'p{i}', {'e0': [served // n, failed // n + (i < failed % n)]})
+    context.doubts.judge(context.at, context.ends, context.proxies)
+
+
+@behave.when('{n:d} proxies tell of {failed:d} failures of every endpoint')
+def _(context, n, failed):
+    for i in range(n):
+        context.doubts.take(context.at, f'p{i}', {inc: [0, failed // n] for inc in context.ends})
+    context.doubts.judge(context.at, context.ends, context.proxies)
+
+
+@behave.when('{t:d} ms go by in doubt')
+def _(context, t):
+    context.at += ms(t)
+
+
+@behave.then('{n:d} of its endpoints are doubted')
+def _(context, n):
+    got = context.doubts.judge(context.at, context.ends, context.proxies)
+    assert len(got) == n, got
+
+
+@behave.given('a master with 9 proxies and a service of 12 endpoints')
+def _(context):
+    context.rig = rig = size_steps.master(9, 2)
+    size_steps.run(rig, 1000)
+
+    def put(txn):
+        for i in range(12):
+            txn.put('endpoints', f'e{i}', dict(ROW, addr=f'10.0.9.{i}:80'))
+        return {'status': 200}
+    rig.m.submit(put, lambda res: None)
+    size_steps.run(rig, 500)
+
+
+@behave.when('two proxies tell it that an endpoint failed 4 times')
+def _(context):
+    for i in (1, 2):
+        context.rig.feed('recv', {'t': 'ill', 'v': 2, 'c': context.rig.m.cluster, 'f': f'p{i}',
+                                  'a': size_steps.paddr(i), 'ends': {'e3': [1, 2]}})
+
+
+@behave.then('the routes doubt that endpoint within {t:d} ms')
+def _(context, t):
+    size_steps.run(context.rig, t)
+    assert set(context.rig.m.rep.get('doubts')) == {'e3'}
+
+
+@behave.then('{t:d} ms later no longer')
+def _(context, t):
+    size_steps.run(context.rig, t)
+    assert not context.rig.m.rep.get('doubts')
+
+
+@behave.when('one of them answers 500 to everything for {s:d} s')
+def _(context, s):
+    b = context.b
+    b.p.master = {'id': 'a', 'addr': '10.0.0.1:1', 'http': ''}
+    context.tally = {'e0': 0, 'e1': 0}
+    for _ in range(20 * s):
+        b.effects = [e for e in b.effects if isinstance(e, seam.Send)]
+        b.request()
+        for f in b.fetches():
+            context.tally[f.inc] += 1
+            b.reply(f, 500 if f.inc == 'e0' else 200)
+        b.go(50)
+
+
+@behave.then('it got less than a fifth of the requests')
+def _(context):
+    t = context.tally
+    assert 1 < t['e0'] < (t['e0'] + t['e1']) / 5, t
+
+
+@behave.then('the master was told of its failures')
+def _(context):
+    told = [e.msg['ends'] for e in context.b.effects if isinstance(e, seam.Send) and e.msg['t'] == 'ill']
+    assert told and all(set(ends) == {'e0'} for ends in told), told
+    assert sum(ends['e0'][1] for ends in told) == context.tally['e0']
+
+
+@behave.when('the routes doubt {which}')
+def _(context, which):
+    context.b.put([['doubts', f'e{i}', 1] for i in range(2 if which == 'both' else 1)])
+
+
+@behave.then('the next {n:d} requests, answered at once, go to {where}')
+def _(context, n, where):
+    b, met = context.b, set()
+    for _ in range(n):
+        b.effects.clear()
+        b.request()
+        fetch, = b.fetches()
+        met.add(fetch.inc)
+        b.reply(fetch)
+        b.go(5)
+    assert met == ({'e1'} if where == 'the other' else {'e0', 'e1'}), met
+
+
+@behave.when('an endpoint answers a request with {what}')
+def _(context, what):
+    b = context.b
+    b.p.master = {'id': 'a', 'addr': '10.0.0.1:1', 'http': ''}
+    b.request(left=200 if 'silence' in what else 2000)
+    fetch = b.fetches()[0]
+    context.inc = fetch.inc
+    if 'silence' in what:
+        b.go(220)
+        b.reply(fetch, 0, fault='CancelledError')
+    elif 'not run' in what:
+        b.reply(fetch, int(what.split()[0]), zt_not_run='1')
+    else:
+        b.reply(fetch, int(what))
+    b.go(100)
+
+
+@behave.then('nothing is held against it')
+def _(context):
+    assert not [e for e in context.b.effects if isinstance(e, seam.Send) and e.msg['t'] == 'ill']
--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -81,6 +81,10 @@
     return isinstance(val, (list, tuple)) and len(val) == 2 and all(table(count)(v) for v in val)
 
 
+def two_counts(val):
+    return isinstance(val, (list, tuple)) and len(val) == 2 and all(count(v) and v < 1 << 31 for v in val)
+
+
 def outcome(val):
     return isinstance(val, (list, tuple)) and len(val) == 3 and whole(val[0]) and table(text)(val[1]) and text(val[2])
 
@@ -118,6 +122,7 @@
     'probe_ep': {'inc': text, 'end': is_addr},
     'probe_ep_re': {'inc': text, 'ok': flag, 'refused_': flag},
     'suspect': {'inc': text},
+    'ill': {'ends': table(two_counts)},
     'want': {'pool': text, 'fence': count, 'no': count, 'took': count, 'use': use, 'need': use,
              'idle_': flag, 'pressure': table(ratio)},
     'credit': {'pool': text, 'fence': count, 'grants': use, 'no': count, 'seq': count},
--- a/zinctrail/agree/replica.py
+++ b/zinctrail/agree/replica.py
@@ -5,7 +5,7 @@
 """
 
 # Why two parts: every ztdir and ztprox needs the routes; only voters need the rest.
-ROUTES = ('meta', 'conf', 'items', 'cells', 'endpoints', 'members', 'duties')
+ROUTES = ('meta', 'conf', 'items', 'cells', 'endpoints', 'members', 'duties', 'doubts')
 
 
 def fold(tables, rows):
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -11,6 +11,7 @@
 import zinctrail.ctl.claims as claims
 import zinctrail.ctl.config as config
 import zinctrail.ctl.coord as coord
+import zinctrail.ctl.doubts as doubts
 import zinctrail.ctl.items as items
 import zinctrail.ctl.recovery as recovery
 import zinctrail.ctl.routes as routes
@@ -79,6 +80,7 @@
         self.mastered_at = seam.ZERO
         self.beats = {}
         self.probing = {}
+        self.doubts = doubts.Doubts()
         self.lock_until = {}
         self.waits = []
         self.watches = []
@@ -127,6 +129,7 @@
         self.mastered_at = self.now
         self.beats = {}
         self.probing = {}
+        self.doubts = doubts.Doubts()
         self.lock_until = {n: self.now + self.lock_term(row) for n, row in self.rep.get('locks').items()}
         self.epoch_at = self.now
         self.submit(lambda txn: self.place_duties(txn) or {'status': 200}, lambda res: None)
@@ -145,6 +148,7 @@
             return
         self.tick_epoch()
         self.tick_endpoints()
+        self.tick_doubts()
         self.tick_locks()
         self.tick_waits()
         self.tick_watches()
@@ -343,6 +347,27 @@
         if self.mode == 'leader':
             self.probe_endpoint(env['inc'])
 
+    def m_ill(self, env):
+        """A proxy tells what endpoints did that failed there."""
+        if self.mode == 'leader':
+            if env['f'] in self.peers:
+                self.doubts.take(self.now, env['f'], env['ends'])
+            self.tick_doubts()
+
+    def tick_doubts(self):
+        want = self.doubts.judge(self.now, self.rep.get('endpoints'), len(self.routes.members('prox')))
+        if want == set(self.rep.get('doubts')) or self.rep.committed[0] != self.term:
+            return
+
+        def put(txn):
+            ends = txn.items('endpoints')
+            for inc in set(txn.items('doubts')) - want:
+                txn.drop('doubts', inc)
+            for inc in sorted(want & set(ends)):
+                txn.put('doubts', inc, 1)
+            return {'status': 200}
+        self.submit(put, lambda res: None)
+
     def m_leaving(self, env):
         """A member will go soon: nothing new for it, its duties to whom it names."""
         if self.mode != 'leader':
--- a/zinctrail/ctl/routes.py
+++ b/zinctrail/ctl/routes.py
@@ -96,6 +96,10 @@
     def end(self, inc):
         return self.rep.get('endpoints').get(inc)
 
+    def doubted(self, inc):
+        """Whether all proxies together saw it fail too often of late."""
+        return inc in self.rep.get('doubts')
+
     def usable(self, inc):
         """Whether newcomers may go there now."""
         row = self.end(inc)
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -41,6 +41,10 @@
 # The weight of one more answer in what is kept of an endpoint's answers, and when a bad one is forgotten.
 SMOOTH = 0.15
 BAD_OLD = seam.ms(8000)
+# What served counts against failures at the most, how many endpoints the master is told of at once, and how often.
+SERVED_MOST = 8
+ILL_MOST = 32
+ILL_PAUSE = seam.ms(50)
 LONG_AGO = seam.ms(-3600000)
 
 
@@ -59,6 +63,8 @@
         self.bad = 0.0
         self.bad_at = seam.ZERO
         self.took = 0.0
+        # How many it served here since the master was last told of it.
+        self.served = 0
         # Why kept while it is warm too: it may be cold the next moment.
         self.sent_at = LONG_AGO
 
@@ -247,6 +253,8 @@
         # {incarnation: (whether we may send to it, how seldom)}, and which were cold in the last view.
         self.cold_turns = {}
         self.cold_seen = {}
+        # {incarnation: (served, failed)} that the master is not told of yet.
+        self.ill = {}
 
     def on_front(self, rid, call):
         self.begin(passes.Record(rid, call, self.now, passes=PASSES))
@@ -335,7 +343,7 @@
             cost = (load + 0.25) * end.slowness(usual) + end.badness(self.now)
             cost += FAR_REGION if there != region else FAR_CELL if row['cell'] != here else 0
             cost += self.rng.random() * 0.05
-            if end.wary_until > self.now:
+            if end.wary_until > self.now or self.routes.doubted(inc):
                 if wary_least is None or cost < wary_least:
                     wary, wary_least = inc, cost
             elif least is None or cost < least:
@@ -393,7 +401,7 @@
         if end is not None:
             end.use -= 1
             self.note_load(end, res)
-            self.note_answer(rec, end, res, seam.to_ms(self.now - at))
+            self.note_answer(rec, inc, end, res, seam.to_ms(self.now - at))
         rec.live.pop(fid, None)
         if rec.sent_at is not None and not rec.live:
             rec.there, rec.sent_at = rec.there + (self.now - rec.sent_at), None
@@ -438,15 +446,34 @@
             # Why one less: the request that this answers is over now.
             end.seen, end.seen_use, end.seen_at = max(0, int(parts[0]) - 1) + int(parts[1]), end.use, self.now
 
-    def note_answer(self, rec, end, res, took):
+    def note_answer(self, rec, inc, end, res, took):
         if not res.sent or 'zt-not-run' in res.headers or res.status == 421:
             return
         bad = bool(fault_of(rec, res)) or res.status >= 500
         end.told(self.now, bad, took)
-        if not bad:
+        if bad:
+            self.tell_ill(rec, end, inc, took)
+        else:
+            end.served = min(SERVED_MOST, end.served + 1)
             usual = self.usual.get(rec.pool, 0.0)
             self.usual[rec.pool] = usual + (took - usual) * SMOOTH if usual else float(took)
 
+    def tell_ill(self, rec, end, inc, took):
+        """Failures are everybody's to know: one of many proxies meets an endpoint too seldom to judge it alone."""
+        if took < rec.rule['timeout_ms'] / 2 and self.now >= rec.until - seam.ms(30):
+            # Why not held against it: its caller gave it little time.
+            return
+        served, failed = self.ill.get(inc, (0, 0))
+        self.ill[inc] = (served + end.served, failed + 1)
+        end.served = 0
+        # Why a pause: under trouble many fail at once, and one frame tells of them.
+        self.alarm_at('ill', self.now + ILL_PAUSE)
+
+    def alarm_ill(self):
+        ill, self.ill = self.ill, {}
+        if self.master and ill:
+            self.tell(self.master['addr'], 'ill', ends={i: list(ill[i]) for i in sorted(ill)[:ILL_MOST]})
+
     def rest(self, inc):
         """Leave an endpoint alone for a while, longer each time."""
         end = self.end_of(inc)
