--- a/features/size.feature
+++ b/features/size.feature
@@ -51,3 +51,12 @@
     Given a proxy that follows b
     When it answers check 7, and b leads again in the next term and grants check 7 without having asked
     Then it has no lease from that
+
+  Scenario Outline: Days of members checked at the slower pace break no promise
+    When a day of <faults> with the shape of many runs under seed <seed>
+    Then nothing that must never happen happened in it
+    Examples:
+      | seed | faults                                                    |
+      | 31   | freeze_master,isolate_master_alive,stale_evacuate         |
+      | 32   | split_with_master+evacuate,isolate_proxy+end_drains       |
+      | 33   | kill_all,graceful_proxy+stale_drain                       |
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -12,6 +12,7 @@
 import zinctrail.ctl.core as core
 import zinctrail.edge.wire as wire
 import zinctrail.seam as seam
+import zinctrail.sim.days as days
 
 MOST = 100000
 
@@ -237,3 +238,15 @@
 @behave.then('it has no lease from that')
 def _(context):
     assert not context.rig.m.leased()
+
+
+@behave.when('a day of {faults} with the shape of many runs under seed {seed:d}')
+def _(context, faults, seed):
+    context.day = days.Day(seed, faults.split(','), 'many', seam.ms(15000)).run()
+
+
+@behave.then('nothing that must never happen happened in it')
+def _(context):
+    assert any(seam.to_ms(m.pace(p)) > 400 for n in context.day.world.of('core') for m in [n.machine]
+               for p in m.peers.values()), 'nobody went at the slower pace'
+    assert not context.day.verdicts(), context.day.verdicts()
