An endpoint that falls silent with our work is passed over before any time-out

Now: silence of 4 x the pool's usual time, 0.3 s at least, with work of ours there all the time, and it is taken only where there is no other.

--- a/features/open.feature
+++ b/features/open.feature
@@ -166,6 +166,11 @@
     When endpoint e1 is taken away
     Then e0 is sent to again
 
+  Scenario: An endpoint that says nothing gets no more while there are others
+    Given a proxy for open traffic with 2 endpoints, whose rule says once
+    When e0 falls silent, and 60 requests come, 20 ms apart
+    Then e0 has been sent no more than 12 of them, and e1 the rest
+
   Scenario: A slow endpoint gets less
     Given a proxy for open traffic with 2 endpoints
     When e0 takes 300 ms and e1 takes 100 ms, and 200 requests come, 50 ms apart
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -749,3 +749,24 @@
 @behave.then('each of those that waited is told 503')
 def _(context):
     assert [context.b.outcome(rid).status for rid in context.waiting.values()] == [503] * 3
+
+
+@behave.when('e0 falls silent, and {n:d} requests come, {gap:d} ms apart')
+def _(context, n, gap):
+    b, owed = context.b, []
+    b.put([['endpoints', inc, dict(b.p.rep.get('endpoints', inc), slots=40)] for inc in ('e0', 'e1')])
+    for _ in range(n):
+        b.request()
+        owed += [(b.now + ms(60), e) for e in b.fetches() if e.inc == 'e1']
+        b.effects.clear()
+        b.go(gap)
+        for at, e in owed:
+            if at <= b.now:
+                b.reply(e)
+        owed = [o for o in owed if o[0] > b.now]
+
+
+@behave.then('e0 has been sent no more than {n:d} of them, and e1 the rest')
+def _(context, n):
+    sent = [i for _, i in context.b.sent]
+    assert 0 < sent.count('e0') <= n and len(sent) == 60, (sent.count('e0'), len(sent))
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -45,6 +45,9 @@
 SERVED_MOST = 8
 ILL_MOST = 32
 ILL_PAUSE = seam.ms(50)
+# How long, and how many times the usual, an endpoint with work may say nothing before others are taken.
+SILENT = seam.ms(300)
+SILENT_TIMES = 4
 LONG_AGO = seam.ms(-3600000)
 
 
@@ -75,6 +78,10 @@
         return self.use + max(0, self.seen - self.seen_use) * (1 - (now - self.seen_at) / LOAD_OLD)
 
 
+    def silent(self, now, usual):
+        """Whether it has said nothing for several times the usual, with work of ours there all the time."""
+        return self.use > 0 and now - max(self.busy_at, self.heard_at) > max(SILENT, seam.ms(SILENT_TIMES * usual))
+
     def slowness(self, usual):
         """Its usual time over that of its pool, within bounds."""
         return min(3.0, max(0.6, self.took / usual)) if self.took and usual else 1.0
@@ -377,6 +384,8 @@
     def dispatch_open(self, rec):
         row = self.routes.end(rec.inc)
         end = self.end_of(rec.inc)
+        if not end.use:
+            end.busy_at = self.now
         end.use += 1
         end.sent_at = self.now
         rec.sends += 1
@@ -400,6 +409,8 @@
         end = self.ends.get(inc)
         if end is not None:
             end.use -= 1
+            if not res.fault:
+                end.heard_at = self.now
             self.note_load(end, res)
             self.note_answer(rec, inc, end, res, seam.to_ms(self.now - at))
         rec.live.pop(fid, None)
