--- a/features/open.feature
+++ b/features/open.feature
@@ -169,7 +169,7 @@
   Scenario: An endpoint that says nothing gets no more while there are others
     Given a proxy for open traffic with 2 endpoints, whose rule says once
     When e0 falls silent, and 60 requests come, 20 ms apart
-    Then e0 has been sent no more than 12 of them, and e1 the rest
+    Then e0 has been sent no more than 17 of them, and e1 the rest
 
   Scenario: A slow endpoint gets less
     Given a proxy for open traffic with 2 endpoints
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -754,7 +754,9 @@
 @behave.when('e0 falls silent, and {n:d} requests come, {gap:d} ms apart')
 def _(context, n, gap):
     b, owed = context.b, []
-    b.put([['endpoints', inc, dict(b.p.rep.get('endpoints', inc), slots=40)] for inc in ('e0', 'e1')])
+    # Why far: else the work that piles up at the silent one would send the rest elsewhere by itself.
+    b.put([['endpoints', inc, dict(b.p.rep.get('endpoints', inc), slots=40, cell=cell)]
+           for inc, cell in (('e0', 'r/c'), ('e1', 'q/c'))])
     for _ in range(n):
         b.request()
         owed += [(b.now + ms(60), e) for e in b.fetches() if e.inc == 'e1']
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -66,6 +66,9 @@
         self.bad = 0.0
         self.bad_at = seam.ZERO
         self.took = 0.0
+        # Since when it has had work of ours, and when it last answered.
+        self.busy_at = LONG_AGO
+        self.heard_at = LONG_AGO
         # How many it served here since the master was last told of it.
         self.served = 0
         # Why kept while it is warm too: it may be cold the next moment.
