A late end of an old connection says nothing of the process that is there now

Cause: a machine that loses power closes no connection, so TCP finds out 1 to 3 s later; by then its processes are back, and the end of the old connection was taken for theirs.

Ruled out: by node id (a control node keeps its own over restarts). The change: only the end of the newest connection in from an address counts, and of ours out none that was begun before a newer process spoke from there.

Test: three scenarios of edge.feature fail without it.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -53,3 +53,33 @@
     Then nothing is sent, and the endpoint has met no request
     When four requests for it are sent at once and one after them
     Then all run over four connections, each asked once
+
+  Scenario: The end of a connection of the process before says nothing of the one that is there now
+    Given our end of the inner wire
+    When a process connects, and another one from its address before the first connection has ended
+    And the first connection ends
+    Then nobody is told as lost
+    When the second connection ends
+    Then that address is told as lost, once
+
+  Scenario: An attempt to connect to the process before says nothing of the one that is there now
+    Given our end of the inner wire
+    When a frame is sent to an address where nobody answers yet
+    And a process from that address connects, and then the attempt fails
+    Then nobody is told as lost
+    When a frame is sent there again, and that attempt fails
+    Then that address is told as lost, once
+
+  Scenario: A connection to the process before that ends late says nothing of the one that is there now
+    Given our end of the inner wire
+    When a process connects and is sent a frame, and another one connects from its address
+    And the connection to the first ends
+    Then nobody is told as lost
+    When a frame is sent there again, and that connection ends
+    Then that address is told as lost, once
+
+  Scenario: A process that ends is told as lost
+    Given our end of the inner wire
+    When a frame is sent to an address that answers, and a process from there connects
+    And the connection to it ends
+    Then that address is told as lost, once
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -8,10 +8,13 @@
 import unittest.mock as mock
 
 import behave
+import twisted.internet.error as error
 import twisted.internet.protocol as protocol
 import twisted.internet.reactor as reactor
 import twisted.internet.task as task
+import twisted.internet.testing as testing
 import twisted.internet.threads as threads
+import twisted.python.failure as failure
 
 import zinctrail.agree.journal as journal
 import zinctrail.agree.partner as partner
@@ -20,6 +23,7 @@
 import zinctrail.edge.disk as disk
 import zinctrail.edge.host as host
 import zinctrail.edge.web as web
+import zinctrail.edge.wire as wire
 import zinctrail.req.endpoint as endpoint
 import zinctrail.seam as seam
 
@@ -324,3 +328,117 @@
     assert context.fetcher.by_number.opened == 5 and context.fetcher.asked == 5, (
         context.fetcher.by_number.opened, context.fetcher.asked)
     assert json.loads(context.all[0].body) == {}
+
+
+# -- the inner wire, without a network ---------------------------------------
+
+class Wire:
+    """Links over a reactor that keeps what it was asked for."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.lost = []
+        self.links = wire.Links(self.reactor, 1 << 20, lambda env: None, self.lost.append)
+
+    def come(self):
+        """A process at 10.0.0.9:1 connects and speaks."""
+        self.reactor.advance(0.1)
+        conn = wire.Frames(self.links)
+        conn.makeConnection(quiet())
+        conn.dataReceived(b'29:{"t":"find","a":"10.0.0.9:1"},')
+        return conn
+
+    def send(self, answered):
+        self.reactor.advance(0.1)
+        before = len(self.reactor.tcpClients)
+        self.links.send('10.0.0.9:1', {'t': 'chk'})
+        assert len(self.reactor.tcpClients) == before + 1, 'no new connection'
+        factory = self.reactor.tcpClients[-1][2]
+        if answered:
+            factory.buildProtocol(None).makeConnection(quiet())
+        return factory
+
+
+def quiet():
+    transport = testing.StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    transport.getHandle = lambda: mock.Mock()
+    return transport
+
+
+def end(conn):
+    conn.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+@behave.given('our end of the inner wire')
+def _(context):
+    context.wire = Wire()
+
+
+@behave.when('a process connects, and another one from its address before the first connection has ended')
+def _(context):
+    context.conns = [context.wire.come(), context.wire.come()]
+
+
+@behave.when('the first connection ends')
+def _(context):
+    end(context.conns[0])
+
+
+@behave.when('the second connection ends')
+def _(context):
+    end(context.conns[1])
+
+
+@behave.then('nobody is told as lost')
+def _(context):
+    assert context.wire.lost == [], context.wire.lost
+
+
+@behave.then('that address is told as lost, once')
+def _(context):
+    assert context.wire.lost == ['10.0.0.9:1'], context.wire.lost
+
+
+@behave.when('a frame is sent to an address where nobody answers yet')
+def _(context):
+    context.out = context.wire.send(False)
+
+
+@behave.when('a process from that address connects, and then the attempt fails')
+def _(context):
+    context.wire.come()
+    context.out.clientConnectionFailed(None, failure.Failure(error.TimeoutError()))
+
+
+@behave.when('a frame is sent there again, and that attempt fails')
+def _(context):
+    context.wire.send(False).clientConnectionFailed(None, failure.Failure(error.TimeoutError()))
+
+
+@behave.when('a process connects and is sent a frame, and another one connects from its address')
+def _(context):
+    context.wire.come()
+    context.out = context.wire.send(True)
+    context.wire.come()
+
+
+@behave.when('the connection to the first ends')
+def _(context):
+    context.out.clientConnectionLost(None, failure.Failure(error.ConnectionLost()))
+
+
+@behave.when('a frame is sent there again, and that connection ends')
+def _(context):
+    context.wire.send(True).clientConnectionLost(None, failure.Failure(error.ConnectionLost()))
+
+
+@behave.when('a frame is sent to an address that answers, and a process from there connects')
+def _(context):
+    context.out = context.wire.send(True)
+    context.wire.come()
+
+
+@behave.when('the connection to it ends')
+def _(context):
+    context.out.clientConnectionLost(None, failure.Failure(error.ConnectionLost()))
--- a/zinctrail/edge/wire.py
+++ b/zinctrail/edge/wire.py
@@ -62,6 +62,9 @@
         self.links = links
         self.MAX_LENGTH = links.frame_most
         self.addr = None
+        self.at = None
+        # Whether it came while an older one from its address was open still.
+        self.replaced = False
         self.stream = None
 
     def streamed(self, data):
@@ -81,6 +84,7 @@
         self.transport.setTcpNoDelay(True)
         watch_peer(self.transport, SILENT_MS)
         self.links.open.add(self)
+        self.at = self.links.reactor.seconds()
 
     def stringReceived(self, data):
         self.links.got_bytes += len(data)
@@ -98,7 +102,9 @@
             self.transport.loseConnection()
             return
         if isinstance(env.get('a'), str):
-            self.addr = env['a']
+            if self.addr is None:
+                self.addr = env['a']
+                self.links.spoke(self)
             self.links.note_level(self.addr, env.get('v'))
         # Why only known kinds: strangers must not be able to fill memory with names.
         kind = env.get('t')
@@ -107,8 +113,8 @@
 
     def connectionLost(self, reason=None):
         self.links.open.discard(self)
-        if self.addr and not self.links.closing:
-            self.links.on_lost(self.addr)
+        if self.addr is not None:
+            self.links.in_gone(self)
 
 
 class Out(protocol.ReconnectingClientFactory):
@@ -117,6 +123,7 @@
     def __init__(self, links, addr):
         self.links = links
         self.addr = addr
+        self.at = links.reactor.seconds()
         self.waiting = collections.deque()
         self.conn = None
 
@@ -169,6 +176,8 @@
         self.on_lost = on_lost
         self.outs = {}
         self.open = set()
+        # The newest connection in from each address that spoke on one.
+        self.newest = {}
         self.closing = False
         # The frames encoded last; each holds on to its message, so that no other can stand at its place.
         self.fresh = collections.deque(maxlen=4)
@@ -235,9 +244,23 @@
             del self.outs[out.addr]
         # Why forgotten: who listens there next may be an older program.
         self.levels.pop(out.addr, None)
-        if not self.closing:
+        # Why looked at: what was opened to a process that was there before tells nothing of the one that is there now.
+        there = self.newest.get(out.addr)
+        stale = there is not None and there.at > out.at and (there.replaced or out.conn is None)
+        if not self.closing and not stale:
             self.on_lost(out.addr)
 
+    def spoke(self, conn):
+        conn.replaced = conn.addr in self.newest
+        self.newest[conn.addr] = conn
+
+    def in_gone(self, conn):
+        # Why only the newest: TCP may find out seconds after the next process there has connected.
+        if self.newest.get(conn.addr) is conn:
+            del self.newest[conn.addr]
+            if not self.closing:
+                self.on_lost(conn.addr)
+
     def close(self):
         self.closing = True
         for out in list(self.outs.values()):
