--- a/zinctrail/fleet_node.py
+++ b/zinctrail/fleet_node.py
@@ -39,9 +39,9 @@
     import zinctrail.edge.wire as wire
     send, listen = wire.Links.send, wire.Links.listen
 
-    def cut_send(self, addr, msg):
+    def cut_send(self, addr, msg, packs=False):
         if addr not in ILLS['cut']:
-            send(self, addr, msg)
+            send(self, addr, msg, packs)
 
     def cut_listen(self, addr):
         heard = self.on_frame
