What may be chosen in a pool is worked out once a change, not for every request

Cause: a choice among 77 endpoints took 442 us (pick_open alone, 82 proxies, this busy machine), a fourth of a request, and again each 20 ms for each that waits. Test: open.feature, doubts.feature as they are.

--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -263,6 +263,8 @@
         # {incarnation: (whether we may send to it, how seldom)}, and which were cold in the last view.
         self.cold_turns = {}
         self.cold_seen = {}
+        # {pool: what may be chosen there}, worked out anew with every change.
+        self.near = {}
         # {incarnation: (served, failed)} that the master is not told of yet.
         self.ill = {}
 
@@ -334,26 +336,19 @@
         """The endpoint that costs least: near, quick, with room, and not failing lately."""
         best, least, wary, wary_least = None, None, None, None
         most = self.connections(rec.pool)
-        here, region = self.place.cell, self.routes.region(self.place.cell)
         usual = self.usual.get(rec.pool, 0.0)
-        for inc in self.routes.open_pool(rec.pool):
-            row = self.routes.end(inc)
-            if inc in rec.tried or not self.routes.usable(inc):
-                continue
-            there = self.routes.region(row['cell'])
-            if rec.home and there not in rec.home:
-                continue
-            end = self.end_of(inc)
-            if end.rest_until > self.now or self.cold_now(inc, row):
+        for inc, row, end, there, far, doubted in self.choices(rec.pool):
+            if inc in rec.tried or end.rest_until > self.now or rec.home and there not in rec.home \
+                    or self.cold_now(inc, row):
                 continue
             load = end.load(self.now) / row['slots']
             if load >= OVER or end.use >= most:
                 continue
             # Why not zero when idle: among idle ones the quicker is the better one too.
             cost = (load + 0.25) * end.slowness(usual) + end.badness(self.now)
-            cost += FAR_REGION if there != region else FAR_CELL if row['cell'] != here else 0
-            cost += self.rng.random() * 0.05
-            if end.wary_until > self.now or self.routes.doubted(inc):
+            cost += far + self.rng.random() * 0.05
+            # Why silence too: an endpoint that lost its power ends no connection, and would get work until some time out.
+            if doubted or end.wary_until > self.now or end.silent(self.now, usual):
                 if wary_least is None or cost < wary_least:
                     wary, wary_least = inc, cost
             elif least is None or cost < least:
@@ -361,6 +356,21 @@
         # Why at all: where every endpoint failed lately, the least bad one still may not.
         return best or wary
 
+    def choices(self, pool):
+        """What may be chosen in a pool: [(incarnation, row, End, region, what its distance costs, whether doubted)]."""
+        got = self.near.get(pool)
+        if got is None:
+            # Why worked out once a change: it is looked through for every request, and pools are large.
+            here, region = self.place.cell, self.routes.region(self.place.cell)
+            got = self.near[pool] = []
+            for inc in self.routes.open_pool(pool):
+                if self.routes.usable(inc):
+                    row = self.routes.end(inc)
+                    there = self.routes.region(row['cell'])
+                    far = FAR_REGION if there != region else FAR_CELL if row['cell'] != here else 0
+                    got.append((inc, row, self.end_of(inc), there, far, self.routes.doubted(inc)))
+        return got
+
     def could_serve(self, rec):
         """Whether the pool has endpoints at all that may get it from us."""
         for inc in self.routes.open_pool(rec.pool):
@@ -552,6 +562,7 @@
             del self.table[rid]
 
     def open_applied(self):
+        self.near.clear()
         self.see_cold()
         row = self.routes.item('limits') or {}
         limits = seam.Limits(**{f.name: row[f.name] for f in dataclasses.fields(seam.Limits) if f.name in row})
