A crowd that waits for room costs one look at its pool, not one each

Cause, by reading: each answer had every waiting request choose anew, hundreds of choices a reply in a crowd, on a machine with less than a core.

--- a/features/open.feature
+++ b/features/open.feature
@@ -191,6 +191,12 @@
     And the endpoint has room again for one
     Then the one of rank 0 is sent
 
+  Scenario: A crowd that waits costs one look at its pool, not one each
+    Given a proxy for open traffic with 1 endpoints
+    When the endpoint is full, and 200 more requests come
+    And the endpoint has room again for one
+    Then one of them is sent, and the pool was looked at no more than 3 times
+
   Scenario: A caller that goes away while its request waits is forgotten
     Given a proxy for open traffic with 1 endpoints
     When the endpoint is full, and requests of rank 2, 0 and 1 wait
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -772,3 +772,23 @@
 def _(context, n):
     sent = [i for _, i in context.b.sent]
     assert 0 < sent.count('e0') <= n and len(sent) == 60, (sent.count('e0'), len(sent))
+
+
+@behave.when('the endpoint is full, and {n:d} more requests come')
+def _(context, n):
+    b = context.b
+    for _ in range(n + 6):
+        b.request()
+    context.full = b.fetches()
+    b.effects.clear()
+    b.looks, pick = 0, b.p.pick_open
+
+    def counted(rec):
+        b.looks += 1
+        return pick(rec)
+    b.p.pick_open = counted
+
+
+@behave.then('one of them is sent, and the pool was looked at no more than {n:d} times')
+def _(context, n):
+    assert len(context.b.fetches()) == 1 and context.b.looks <= n, context.b.looks
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -388,11 +388,20 @@
 
     def alarm_room(self):
         waiting, self.waiting = self.waiting, collections.deque()
+        full = set()
         # Why by rank: what room there is goes to the traffic that matters most; within a rank, to who came first.
         for rec in sorted(waiting, key=lambda r: r.rule.get('rank', 0) if r.rule else 0):
-            if rec.rid in self.table and rec.parked == 'room':
-                # Why the same pass again: it looks anew, and gives up once the patience is over.
-                self.run(rec)
+            if rec.rid not in self.table or rec.parked != 'room':
+                continue
+            key = (rec.pool, rec.home) if rec.rule else None
+            if key in full and self.now < rec.patience:
+                # Why not looked at: in a crowd hundreds wait, and the first of them found no room.
+                self.queue_open(rec, rec.patience)
+                continue
+            # Why the same pass again: it looks anew, and gives up once the patience is over.
+            self.run(rec)
+            if key and rec.parked == 'room' and rec.rid in self.table:
+                full.add(key)
 
     def dispatch_open(self, rec):
         row = self.routes.end(rec.inc)
