--- a/features/open.feature
+++ b/features/open.feature
@@ -203,3 +203,8 @@
     And their callers hang up
     And the endpoint has room again for one
     Then none of them is sent
+
+  Scenario: What is of the caller's connection stays there, the rest is passed on
+    Given a proxy for open traffic with 1 endpoints
+    When a request comes with headers connection=close, x-own, zt-id and x-own=1 and x-other=2 and te=trailers and expect=100-continue
+    Then its endpoint gets headers host=h and x-other=2 and zt-id=id1, its time left and who is meant
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -65,7 +65,7 @@
     def request(self, left=2000, rid=None, **headers):
         self.no += 1
         rid = ('front', self.no)
-        self.feed('front', rid, seam.Call('GET', '/a', {'host': 'h', 'zt-id': rid and f'id{self.no}', 'zt-left-ms': str(left), **headers}, b''))
+        self.feed('front', rid, seam.Call('GET', '/a', {'host': 'h', 'zt-id': f'id{self.no}', 'zt-left-ms': str(left), **headers}, b''))
         return rid
 
     def go(self, ms_):
@@ -792,3 +792,17 @@
 @behave.then('one of them is sent, and the pool was looked at no more than {n:d} times')
 def _(context, n):
     assert len(context.b.fetches()) == 1 and context.b.looks <= n, context.b.looks
+
+
+@behave.when('a request comes with headers {text}')
+def _(context, text):
+    pairs = [part.partition('=') for part in text.split(' and ')]
+    context.rid = context.b.request(**{k: v for k, _, v in pairs})
+
+
+@behave.then('its endpoint gets headers {text}, its time left and who is meant')
+def _(context, text):
+    want = {k: v for k, _, v in (part.partition('=') for part in text.split(' and '))}
+    got = dict(context.b.fetches()[0].headers)
+    assert got.pop('zt-inc') == 'e0' and int(got.pop('zt-left-ms')) <= 2000
+    assert got == want, got
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -20,6 +20,8 @@
 # Why: headers of one connection only, and those that we set ourselves.
 HOP = ('connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'trailers', 'transfer-encoding', 'upgrade',
        'content-length', 'expect', 'zt-left-ms', 'zt-inc')
+# Why: no caller may have these taken off on the way.
+KEPT = {'zt-id', 'host'}
 # How much worse an endpoint is for standing in another cell, or another region, as shares of a full load.
 FAR_CELL = 0.12
 FAR_REGION = 0.75
@@ -418,7 +420,9 @@
             rec.hedge_at = max(self.now, rec.came) + (rec.aim - rec.came) * HEDGE
             self.alarm_at('hedge', rec.hedge_at)
         left = rec.until - self.now
-        headers = {k: v for k, v in rec.call.headers.items() if k not in HOP}
+        # Why named ones too: a header that the connection's own names is of that connection only.
+        named = {n.strip().lower() for n in rec.call.headers.get('connection', '').split(',')}
+        headers = {k: v for k, v in rec.call.headers.items() if k not in HOP and k not in named - KEPT}
         headers['zt-inc'] = rec.inc
         headers['zt-left-ms'] = str(max(1, seam.to_ms(left)))
         self.counts['sends'] += 1
