--- a/features/open.feature
+++ b/features/open.feature
@@ -93,6 +93,15 @@
       | an answer that says timeout=1     | 0.2  | once  | the same |
       | an answer that says timeout=1     | 0.4  | often | another  |
 
+  Scenario Outline: An endpoint that speaks or goes before it is asked
+    Given an endpoint that <does> as soon as it is connected to
+    When a request is sent to it alone
+    Then it is told a fault, and nothing broke
+    Examples:
+      | does       |
+      | goes       |
+      | sends noise|
+
   Scenario: A connection that its other side has closed is not used for what may run once
     Given an endpoint that closes after each answer, without having said so
     When two requests are sent to it, one after the other
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -3,8 +3,10 @@
 import types
 
 import behave
+import twisted.internet.protocol as protocol
 import twisted.internet.reactor as reactor
 import twisted.internet.task as task
+import twisted.python.log as twisted_log
 
 import edge_steps
 import zinctrail.agree.partner as partner
@@ -806,3 +808,34 @@
     got = dict(context.b.fetches()[0].headers)
     assert got.pop('zt-inc') == 'e0' and int(got.pop('zt-left-ms')) <= 2000
     assert got == want, got
+
+
+@behave.given('an endpoint that {does} as soon as it is connected to')
+def _(context, does):
+    endpoint_of(context, ANSWERS['a whole answer'])
+    factory = protocol.ServerFactory()
+
+    class Rash(protocol.Protocol):
+        def connectionMade(self):
+            self.transport.loseConnection() if does == 'goes' else self.transport.write(b'noise')
+    factory.protocol = Rash
+    port = on_loop(lambda: reactor.listenTCP(0, factory, interface='127.0.0.1'))
+    context.addr = f'127.0.0.1:{port.getHost().port}'
+
+
+@behave.when('a request is sent to it alone')
+def _(context):
+    context.broke = []
+
+    def see(event):
+        if event.get('isError'):
+            context.broke.append(event)
+    on_loop(lambda: twisted_log.addObserver(see))
+    context.got = relayed(context, '1')
+    on_loop(lambda: task.deferLater(reactor, 0.05))
+    on_loop(lambda: twisted_log.removeObserver(see))
+
+
+@behave.then('it is told a fault, and nothing broke')
+def _(context):
+    assert context.got.fault and not context.broke, (context.got, context.broke)
--- a/zinctrail/edge/relay.py
+++ b/zinctrail/edge/relay.py
@@ -260,11 +260,13 @@
         host, port = wire.split(addr)
         self.opened += 1
         began = self.reactor.seconds()
-        made = protocol.ClientCreator(self.reactor, Conn).connectTCP(
+        conn = Conn()
+        # Why before it is made: it may end, or bring bytes, before anybody here hears of it.
+        conn.inc, conn.relay = inc, self
+        made = protocol.ClientCreator(self.reactor, lambda: conn).connectTCP(
             host, port, timeout=min(CONNECT, max(0.01, wait.total_seconds())))
 
         def connected(conn):
-            conn.inc, conn.relay = inc, self
             left = wait - seam.ms(1000 * (self.reactor.seconds() - began))
             return self.send(conn, method, path, headers, body, left, ours)
 
