A master that steps down says so and names the next; voters stand in turn; leases at once

Reads began a round of their own each 4 ms, and only the newest 20 rounds were remembered: at many reads a second and slow links a quorum's answers would have come too late to count.

Change: `down` tells the members; a disk fault names a successor, which needs no pre-vote; a first try waits its turn among the voters that answer, by an order of the term; a new master and a newcomer's first answer begin a round; a member that takes the state after that round is granted as it says so. Rounds are kept by age; a read before a publication rests on its quorum.

--- a/features/control.feature
+++ b/features/control.feature
@@ -95,3 +95,37 @@
       | p:1 ready, emptied, taken back, new master, p:2 ready      | cold   |
       | p:1 ready, emptied, taken back, p:2 ready, p:3 ready       | warm   |
       | p:1 ready, emptied, taken back, p:2 ready, p:3 cold        | cold   |
+
+  Scenario: A master whose disk fails names who leads next, and tells all that it doesn't
+    Given a control node that leads
+    When the disk of the node fails
+    Then the node tells b to succeed it
+    And the node tells c that it steps down
+
+  Scenario Outline: Who is told that its master steps down looks for another at once
+    Given a control node that follows b
+    When the node hears <who> step down from term <term>
+    Then the node is then a <mode>
+    Examples:
+      | who | term | mode      |
+      | b   | 3    | candidate |
+      | c   | 3    | follower  |
+      | b   | 2    | follower  |
+
+  Scenario: Members of a new master have leases before its second check
+    Given a control node that has just won an election
+    When 100 ms go by
+    Then b has been granted a lease, by an answer from before the round it rests on
+
+  Scenario Outline: A read needs a round of its own only where no publication follows it
+    Given a control node that leads
+    When the node gets a read and <then> within the gathering time
+    Then so the node answers it, after <rounds> rounds of its own
+    Examples:
+      | then           | rounds |
+      | nothing else   | 1      |
+      | a write        | 0      |
+
+  Scenario: The voters that lost a master stand one after the other
+    Given voters a, b, c, d and e that lost their master at the same moment
+    Then the first two of them stand at least 35 ms apart, whatever the term
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -334,3 +334,97 @@
 @behave.then('y is told {status:d}')
 def _(context, status):
     assert [res['status'] for res in context.got] == [status], context.got
+
+
+@behave.when('the disk of the node fails')
+def _(context):
+    context.node.sends.clear()
+    context.node.feed('disk_fault', 'full')
+    assert context.node.m.mode == 'candidate'
+
+
+@behave.then('the node tells {who} to succeed it')
+def _(context, who):
+    assert context.node.sent('succeed', who), context.node.sends
+
+
+@behave.then('the node tells {who} that it steps down')
+def _(context, who):
+    assert context.node.sent('down', who), context.node.sends
+
+
+@behave.when('the node hears {who} step down from term {term:d}')
+def _(context, who, term):
+    context.node.recv(who, 'down', term=term)
+
+
+@behave.then('the node is then a {mode}')
+def _(context, mode):
+    assert context.node.m.mode == mode, context.node.m.mode
+
+
+@behave.given('a control node that has just won an election')
+def _(context):
+    node = context.node = Node()
+    node.lead()
+    node.mute = False
+    at = node.m.rep.accepted
+    node.rep.accept(at, full=node.m.rep.whole())
+    node.recv('b', 'pub_re', term=node.m.term, at=at, ok=True, accepted=at)
+
+
+@behave.then('b has been granted a lease, by an answer from before the round it rests on')
+def _(context):
+    grants = context.node.sent('grant')
+    assert grants and grants[0]['ack'] < context.node.m.quorum_round, (grants, context.node.m.quorum_round)
+
+
+@behave.when('the node gets a read and {then} within the gathering time')
+def _(context, then):
+    node, context.got = context.node, []
+    node.run(50)
+    node.mute = True
+    context.round = node.m.round
+    node.m.serve('cell.get', {'name': 'g.1'}, context.got.append)
+    if then == 'a write':
+        node.m.serve('number.step', {'name': 'n'}, lambda res: None)
+    node.run(20)
+    assert not context.got
+    context.rounds = node.m.round - context.round
+    node.mute = False
+    for msg in [e.msg for e in node.sends if e.addr == addr('b') and e.msg['t'] in ('pub', 'chk')][-3:]:
+        node.recv('b', **{k: v for k, v in node.b_answers(msg).items() if k != 't'},
+                  kind=node.b_answers(msg)['t'])
+    node.run(20)
+
+
+@behave.then('so the node answers it, after {n:d} rounds of its own')
+def _(context, n):
+    assert [res['status'] for res in context.got] == [404], context.got
+    assert context.rounds == n, context.rounds
+
+
+@behave.given('voters a, b, c, d and e that lost their master at the same moment')
+def _(context):
+    context.voters = 'abcde'
+
+
+@behave.then('the first two of them stand at least {ms_:d} ms apart, whatever the term')
+def _(context, ms_):
+    vc = {'committed': list('abcde'), 'accepted': list('abcde')}
+    gaps = []
+    for term in range(1, 60):
+        stand = []
+        for n, name in enumerate('abcde'):
+            node = Node(seed=n)
+            node.m.node, node.m.term = name, term
+            node.m.rep.tables['meta'] = dict(node.m.rep.tables['meta'], vc=vc)
+            for other in 'abcde':
+                if other != name:
+                    node.m.remember(addr(other) if other != 'a' else '10.0.0.9:1000', other, 'core', seen=True)
+            node.m.alarms.pop('elect', None)
+            node.m.plan_election()
+            stand.append(node.m.alarms['elect'])
+        first, second = sorted(stand)[:2]
+        gaps.append(second - first)
+    assert min(gaps) >= ms(ms_), min(gaps)
--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -110,6 +110,7 @@
     'ask': {'key': text, 'op': text, 'args': table(any_)},
     'ask_re': {'key': text, 'result': fields(status=whole)},
     'leave': {},
+    'down': {'term': count},
     'leaving': {'successors': table(text)},
     'prevote': {'term': count, 'accepted': pair},
     'prevote_re': {'term': count, 'accepted': pair},
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -343,6 +343,11 @@
     def lease_left(self):
         return self.lease_until - self.now if self.leased() else seam.ZERO
 
+    def m_down(self, env):
+        # Why at once: it says itself that it leads no more.
+        if self.mode == 'follower' and self.master['id'] == env['f'] and env['term'] == self.term:
+            self.lose_master('steps down')
+
     def alarm_lead(self):
         self.lose_master('silent')
 
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -6,6 +6,7 @@
 
 import collections
 import uuid
+import zlib
 
 import zinctrail.agree.frames as frames
 import zinctrail.agree.journal as journal
@@ -236,6 +237,8 @@
             self.log(f'Disk can not be written: {text}. Does not vote or lead.', 'disk', fit=False, why=text)
         self.unfit = True
         if self.mode == 'leader':
+            # Why named: it needs no pre-vote, and nobody has to find out that we are gone.
+            self.name_successor()
             self.step_down('disk')
         self.votes = self.prevotes = None
         self.alarm('disk', seam.ms(1000))
@@ -442,7 +445,19 @@
         if replica.quorum_both(set(self.fresh_known()) | {self.node}, self.vc()):
             # Why random and growing with tries: two candidates must not keep splitting the votes.
             most = min(self.bounds.elect * (1 + self.tries), self.bounds.elect_most)
-            self.alarm('elect', self.bounds.elect / 3 + most * self.rng.random())
+            # Why in turn at first: all lose a master at the same moment, and who is next should be alone.
+            turn = self.bounds.elect * (0.5 * self.turn()) if self.tries == 0 else seam.ZERO
+            self.alarm('elect', self.bounds.elect / 6 + turn + most * self.rng.random() * (0.2 if self.tries == 0 else 1))
+
+    def turn(self):
+        """Our place among the voters that answer, in an order that differs from term to term."""
+        vc = self.vc()
+        here = [n for n in self.fresh_known() if n in vc['accepted'] or n in vc['committed']]
+        mine = self.turn_of(self.node)
+        return sum(1 for n in here if self.turn_of(n) < mine) if self.node in vc['accepted'] else len(here)
+
+    def turn_of(self, node):
+        return zlib.crc32(f'{self.term}/{node}'.encode())
 
     def alarm_elect(self):
         if self.mode != 'candidate' or self.unfit or self.stopping or self.rep.accepted == (0, 0):
@@ -565,6 +580,8 @@
 
     def mastered(self):
         """The first generation of our term is in force: what waited for a master is served."""
+        # Why at once: many have no lease yet, and what they answer from here on makes one.
+        self.alarm('chk', seam.ZERO)
         asks, self.asks = self.asks, {}
         for a in asks.values():
             self.serve(a.op, a.args, lambda res, a=a: a.told(res, 0))
@@ -575,9 +592,12 @@
     def step_down(self, why):
         self.lost_why = why
         self.log(f'Steps down from term {self.term}: {why}.', 'down', term=self.term, why=why)
+        for p in self.peers.values():
+            # Why told: else each finds out only by our silence.
+            self.tell(p.addr, 'down', term=self.term)
         self.mode = 'candidate'
         self.master = None
-        for a in ('chk', 'pub', 'pump'):
+        for a in ('chk', 'pub', 'pump', 'succ', 'fence', 'grants'):
             self.alarms.pop(a, None)
         flights, self.flights = self.flights, collections.deque()
         tasks, self.tasks = self.tasks, []
@@ -587,7 +607,7 @@
                 cb(lost)
         for _, cb in tasks:
             cb(NO_MASTER)
-        for _, cb in fences:
+        for *_, cb in fences:
             cb(False)
         self.peers = {}
         self.unmastered()
@@ -808,6 +828,8 @@
         for f in done:
             for cb, res, _ in f['results']:
                 cb(res)
+        if self.mode == 'leader':
+            self.pass_fences(lambda need, after: after < done[-1]['at'])
         if self.mode != 'leader':
             return
         if any(r[0] == 'members' for f in done for r in f['rows']):
@@ -823,6 +845,9 @@
         p = self.peers.get(env['f'])
         if self.mode == 'leader' and p is not None and env['term'] == self.term:
             p.committed = max(p.committed, tup(env['at']))
+            if p.granted is None:
+                # Why now: the round that its lease rests on may have been answered while it took this.
+                self.grant(p)
 
     def alarm_pub(self):
         if self.mode == 'leader' and self.flights:
@@ -844,6 +869,10 @@
             self.fault_member(p, 'silent')
         self.tick_master()
 
+    def alarm_grants(self):
+        if self.mode == 'leader':
+            self.start_round(False, grants=True)
+
     def tick_master(self):
         """For the role, once a check round."""
 
@@ -871,17 +900,26 @@
         pace = self.pace(p)
         return pace > self.bounds.check and p.granted is not None and self.now - p.granted < pace * 1.5
 
-    def start_round(self, everyone):
+    def start_round(self, everyone, grants=False):
+        """Ask the voters whether they follow us still, and with `everyone` all members whose check is due.
+
+        Leases rest on rounds with `everyone` or `grants`.
+        """
         self.round += 1
+        grants = grants or everyone
         # Why who was heard is noted now: a lease may only rest on answers from before the round began.
-        self.rounds[self.round] = {'start': self.now, 'answered': {self.node}, 'everyone': everyone,
-                                   'heard': {n: (p.acked, p.acked_at) for n, p in self.peers.items()},
+        heard = {n: (p.acked, p.acked_at) for n, p in self.peers.items()} if grants else {}
+        self.rounds[self.round] = {'start': self.now, 'answered': {self.node}, 'grants': grants, 'heard': heard,
                                    'granted': None}
-        for q in [q for q in self.rounds if q < self.round - 20]:
+        # Why by age: many reads begin many rounds, and each must have its time.
+        old = self.now - self.bounds.check * (self.bounds.misses + 1)
+        for q in [q for q, r in self.rounds.items() if r['start'] < old]:
             del self.rounds[q]
+        vc = self.vc()
         for p in self.peers.values():
             # Why nearly: rounds come a little late, and must not be missed for that.
-            if p.role == 'core' or everyone and self.now - p.checked >= self.pace(p) - self.bounds.check / 4:
+            if p.node in vc['accepted'] or p.node in vc['committed'] or everyone and (
+                    p.role == 'core' or self.now - p.checked >= self.pace(p) - self.bounds.check / 4):
                 self.check_member(p)
         self.round_answered(self.round)
 
@@ -895,6 +933,9 @@
             return
         p.ack_at = self.now
         if env['round'] > p.acked:
+            if not p.acked and 'grants' not in self.alarms:
+                # Why a round soon: it has no lease yet and serves nobody.
+                self.alarm('grants', self.bounds.gather)
             p.acked, p.acked_at = env['round'], self.now
         p.accepted = max(p.accepted or (0, 0), tup(env['accepted']))
         p.committed = max(p.committed, tup(env['committed']))
@@ -931,22 +972,26 @@
         self.quorum_at = max(self.quorum_at, r['start'])
         # Why none before our first generation: what we lead from may be behind.
         if self.rep.committed[0] == self.term:
-            r['granted'] = set() if r['everyone'] else None
+            r['granted'] = set() if r['grants'] else None
             for p in self.peers.values():
                 ack, at = r['heard'].get(p.node, (0, None))
                 if ack > p.good:
                     p.good, p.good_at = ack, at
-                if r['everyone']:
+                if r['grants']:
                     self.grant(p, r)
-        ready = [cb for need, cb in self.fences if need <= q]
-        self.fences = [(need, cb) for need, cb in self.fences if need > q]
+        self.pass_fences(lambda need, after: need <= q)
+
+    def pass_fences(self, passed):
+        ready = [cb for need, after, cb in self.fences if passed(need, after)]
+        self.fences = [f for f in self.fences if not passed(f[0], f[1])]
         for cb in ready:
             cb(True)
 
-    def grant(self, p, r):
-        """A lease for who answered before the round began, and lacked nothing yet when it did."""
-        if p.good and p.node not in r['granted'] and not self.folds(p) and self.had_all(p, p.good_at):
-            r['granted'].add(p.node)
+    def grant(self, p, r=None):
+        """A lease for who answered before a round began that a quorum answered, and lacked nothing yet when it did."""
+        if p.good and not (r and p.node in r['granted']) and not self.folds(p) and self.had_all(p, p.good_at):
+            if r:
+                r['granted'].add(p.node)
             p.granted = self.now
             self.tell(p.addr, 'grant', term=self.term, ack=p.good)
 
@@ -963,14 +1008,17 @@
         return True
 
     def fence(self, cb):
-        """cb(True) once a quorum has answered a round begun after now; cb(False) if deposed."""
-        self.fences.append((self.round + 1, cb))
+        """cb(True) once a quorum has answered a round begun, or a generation published, after now; cb(False) if
+        deposed."""
+        self.fences.append((self.round + 1, self.rep.accepted, cb))
         if 'fence' not in self.alarms:
             # Why a short pause: many reads share one round.
-            self.alarm('fence', seam.ms(4))
+            self.alarm('fence', self.bounds.gather)
 
     def alarm_fence(self):
-        if self.mode == 'leader' and self.fences:
+        newest = self.flights[-1]['at'] if self.flights else (0, 0)
+        # Why not for those before a publication: its quorum says as much as a round's.
+        if self.mode == 'leader' and any(need > self.round and after >= newest for need, after, _ in self.fences):
             self.start_round(False)
 
     # -- membership -------------------------------------------------------
