--- a/features/steps/late_steps.py
+++ b/features/steps/late_steps.py
@@ -148,8 +148,9 @@
 @behave.then('those that can not be served in time are told not-run within {most:d} ms, with when to come back')
 def _(context, most):
     assert all(context.all), 'some were told nothing'
-    ran = [g for g in context.all if g[1] == 200]
-    told = [g for g in context.all if g[1] != 200]
+    # Why by who ran it: endpoints answer one in 25 with a 404 or 500 of their own, by the day's seed.
+    ran = [g for g in context.all if 'by' in g[2]]
+    told = [g for g in context.all if 'by' not in g[2]]
     assert len(ran) in (2, 3), [g[:3] for g in context.all]
     late = [g[:3] for g in told if g[0] - context.began > ms(most)]
     # Why one may: it was within reach by the usual measure when it came.
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -2,6 +2,7 @@
 import zlib
 
 import behave
+import twisted.internet.task as task
 import twisted.internet.testing as testing
 
 import zinctrail.edge.wire as wire
@@ -11,7 +12,7 @@
 
 
 def links(got):
-    return wire.Links(None, BOUND, got.append, lambda addr: None)
+    return wire.Links(task.Clock(), BOUND, got.append, lambda addr: None)
 
 
 class Pair:
