--- a/features/open.feature
+++ b/features/open.feature
@@ -136,6 +136,11 @@
     When the first answers
     Then it is answered once, and no work is counted at either
 
+  Scenario: Several silent requests are sent elsewhere as the shared bound pays for them
+    Given a proxy for open traffic, one of 12, with 3 endpoints that take 1200 connections each
+    When 3 requests fall silent at once, and others are served 50 ms apart
+    Then all 3 were sent to a second endpoint, not all at once
+
   Scenario Outline: What is sent a second time, and what is not
     Given a proxy for open traffic with 3 endpoints, whose rule says <rule>
     When a request comes 0 s later
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -839,3 +839,27 @@
 @behave.then('it is told a fault, and nothing broke')
 def _(context):
     assert context.got.fault and not context.broke, (context.got, context.broke)
+
+
+@behave.when('{n:d} requests fall silent at once, and others are served {gap:d} ms apart')
+def _(context, n, gap):
+    b = context.b
+    context.silent = [f'id{i + 1}' for i in range(n)]
+    for _ in range(n):
+        b.request()
+    context.again = []
+    # Why only those: more would be sent again for the others.
+    first, b.effects = b.fetches(), []
+    for _ in range(36):
+        b.go(gap)
+        b.request()
+        for e in b.fetches():
+            if e.headers['zt-id'] in context.silent:
+                context.again.append(b.now)
+            b.reply(e)
+        b.effects.clear()
+
+
+@behave.then('all {n:d} were sent to a second endpoint, not all at once')
+def _(context, n):
+    assert len(context.again) == n and context.again[-1] - context.again[0] >= ms(200), context.again
--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -38,6 +38,7 @@
 # The share of its aim after which a silent endpoint is no longer waited for alone.
 HEDGE = 0.6
 HEDGE_LOOK = seam.ms(25)
+HEDGE_AGAIN = seam.ms(60)
 # How many proxies may send to a cold endpoint, as a multiple of the requests a second that it bears.
 COLD_SENDERS = 1.5
 # The weight of one more answer in what is kept of an endpoint's answers, and when a bad one is forgotten.
@@ -468,9 +469,12 @@
         try:
             window = self.may_repeat(rec)
         except passes.Drop:
-            return
-        inc = self.pick_open(rec)
+            window = None
+        inc = self.pick_open(rec) if window else None
         if inc is None:
+            # Why again: the bound pays for one in some tenths of a second, and an endpoint that dies holds several.
+            rec.hedge_at = self.now + HEDGE_AGAIN
+            self.alarm_at('hedge', rec.hedge_at)
             return
         window.repeat(self.now)
         self.counts['hedges'] += 1
