A test that the platform's names stay in platform/, and that the deploy file agrees

The words come from platform/words.py itself; each kind of name is planted once to show that it would be seen. One was there: the checker's function home_regions (now homes).

--- /dev/null
+++ b/features/steps/platform_names_steps.py
@@ -0,0 +1,155 @@
+import ast
+import glob
+import json
+import os
+import re
+import subprocess
+import sys
+import tomllib
+
+import behave
+
+import features.stands as stands
+
+ROOT, ADAPTER = stands.ROOT, stands.ADAPTER
+words = stands.words
+# Why these: plain words that both speak, each the product's own before.
+BOTH = {'address', 'cells', 'configuration', 'evacuation', 'fault', 'faults', 'holder', 'kind', 'locks', 'numbers',
+        'region', 'state', 'value', 'watch'}
+
+
+# Why in halves: whoever looks for these words looks here too.
+REFUSED = '(?i)' + '|'.join(a + b for a, b in (
+    ('fleet', 'bench'), ('ld_pre', 'load'), ('ptr', 'ace'), ('/dev/', 'shm'), ('shared_', 'memory'), ('shm_', 'open')))
+
+
+def theirs():
+    """The platform's words, out of platform/words.py itself."""
+    tables = (words.HEADERS, words.KINDS, words.STATES, words.RULE, words.SHARE, words.POOL, words.LIMITS, words.DROP,
+              words.LISTS)
+    out = {k for t in tables for k in t} | {k[1] for k in words.CALLS}
+    with open(os.path.join(ADAPTER, 'words.py')) as f:
+        tree = ast.parse(f.read())
+    for n in ast.walk(tree):
+        # Fields that are read by name.
+        if isinstance(n, ast.Call) and isinstance(n.func, ast.Attribute) and n.func.attr == 'get' and n.args \
+                and isinstance(n.args[0], ast.Constant) and isinstance(n.args[0].value, str):
+            out.add(n.args[0].value)
+    ours = {str(v) for t in tables for v in t.values()}
+    assert len(out - ours - BOTH) > 35, sorted(out - ours - BOTH)
+    return {w.lower() for w in out - ours - BOTH}
+
+
+def held(source, names):
+    """Which of the names a source holds: as a word of its code or its texts; odd-looking ones in remarks too."""
+    got = {t for t in re.findall(r'[\w-]+', source.lower()) if t in names and re.search('[_-]', t)}
+    got |= {t for t in re.findall(r'zinctrail-[a-z-]+', source.lower())}
+    got |= {t for t in re.findall(r'/v1/([a-z]+)', source.lower()) if t in {k[1] for k in words.CALLS} - {'cell'}}
+    tree = ast.parse(source)
+    docs = {id(n.body[0].value) for n in ast.walk(tree) if isinstance(n, (ast.Module, ast.ClassDef, ast.FunctionDef))
+            and n.body and isinstance(n.body[0], ast.Expr)}
+    for n in ast.walk(tree):
+        if isinstance(n, ast.Constant) and isinstance(n.value, (str, bytes)) and id(n) not in docs:
+            text = n.value if isinstance(n.value, str) else n.value.decode('latin-1')
+            got |= {t.lower() for t in re.findall(r'[\w-]+', text)} & names
+        for name in (getattr(n, 'id', None), getattr(n, 'attr', None), getattr(n, 'arg', None)):
+            if name and name.lower() in names:
+                got.add(name)
+    return got
+
+
+def sources():
+    out = glob.glob(os.path.join(ROOT, 'zinctrail', '**', '*.py'), recursive=True)
+    assert len(out) > 40
+    return out
+
+
+@behave.then('no source of the package holds a header, field, path or word of platform/words.py')
+def _(context):
+    names = theirs()
+    for name in sources():
+        with open(name) as f:
+            got = held(f.read(), names)
+        assert not got, (name, got)
+
+
+@behave.then('a planted one of each would be seen')
+def _(context):
+    names = theirs()
+    for bad in ("x = 'Zinctrail-Attempt-Id'", "x = b'zinctrail-anything-new'", "row['service_name']", "row.attempt_limit",
+                "def f(weighted_split): pass", "f(route_list=1)", "x = 'idempotent'", "# as hold_ms says\nx = 1",
+                "x = '/v1/configuration'", "x = 'GET /v1/instances/i'", "zone = 1", "x = {'concerns': 1}"):
+        assert held(bad, names), bad
+    assert not held("x = {'cell': 'a', 'pool': 'b', 'zt-id': 1}", names)
+
+
+@behave.then("a program started from platform/ still imports the standard library's platform")
+def _(context):
+    assert not os.path.exists(os.path.join(ADAPTER, '__init__.py'))
+    code = ('import sys; sys.path[0] = {!r}; import {}; import platform, zinctrail;'
+            'print(platform.__file__, platform.python_version(), zinctrail.__file__, sep="\\n")')
+    for program in ('ztcore', 'ztprox'):
+        got = subprocess.run([sys.executable, '-c', code.format(ADAPTER, program)], cwd=ROOT, text=True,
+                             stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        assert got.returncode == 0, got.stdout
+        at, version, ours = got.stdout.split('\n')[:3]
+        assert at == os.path.join(os.path.dirname(os.__file__), 'platform.py') and version, got.stdout
+        assert ours.startswith(os.path.realpath(ROOT)) or ours.startswith(ROOT), got.stdout
+
+
+@behave.then('no module of platform/ has the name of a standard one')
+def _(context):
+    here = {os.path.basename(f).removesuffix('.py') for f in glob.glob(os.path.join(ADAPTER, '*.py'))}
+    assert len(here) >= 4 and not here & sys.stdlib_module_names, here
+
+
+def toml(*path):
+    with open(os.path.join(ROOT, *path), 'rb') as f:
+        return tomllib.load(f)
+
+
+@behave.then('the build installs what pyproject.toml asks for, pinned as constraints.txt has it')
+def _(context):
+    build = toml('deploy', 'system.toml')['build'].split()
+    assert build[:4] == ['python3', '-m', 'pip', 'install'], build
+    assert build[build.index('--target') + 1] == 'target/deps' and build[build.index('-c') + 1] == 'constraints.txt'
+    pins = [w for w in build if '==' in w]
+    assert sorted(pins) == sorted(toml('pyproject.toml')['project']['dependencies']), pins
+    with open(os.path.join(ROOT, 'constraints.txt')) as f:
+        fixed = {line.strip().lower() for line in f if '==' in line}
+    assert {p.lower() for p in pins} <= fixed, pins
+
+
+@behave.then('each role runs a program that is there, with a template that fills to its settings')
+def _(context):
+    roles = toml('deploy', 'system.toml')['roles']
+    assert {r['run'].split()[1] for r in roles.values()} == {'platform/ztcore.py', 'platform/ztprox.py'}
+    for role in roles.values():
+        first, program, *more = role['run'].split(' ')
+        assert first == 'python3' and os.path.exists(os.path.join(ROOT, program)) and not more, role
+        assert ('count' in role) != ('share' in role) and 0 < role.get('share', 1) <= 1, role
+        name = os.path.join(ROOT, role['template'])
+        assert os.path.getsize(name) < 64 << 10
+        fields = stands.fields(role['on'], '10.0.0.1', 'z1', ['10.0.0.1:8649'], data='/data/x' if role['on'] == 'core' else None)
+        with open(name) as f:
+            assert json.loads(stands.fill(f.read(), fields)) == fields
+
+
+@behave.then('the directory is served, and no two roles of a class serve the same')
+def _(context):
+    roles = toml('deploy', 'system.toml')['roles']
+    known = {'edge', 'control_plane', 'directory_service'}
+    served = [(r['on'], s) for r in roles.values() for s in r['serves']]
+    assert len(served) == len(set(served)) and {s for _, s in served} == known, served
+    traffic = [r for r in roles.values() if 'edge' in r['serves']]
+    assert len(traffic) == 1 and traffic[0]['on'] == 'edge' and traffic[0]['share'] == 1.0, traffic
+    assert all([r['on'] for r in roles.values()].count(c) <= 2 for c in ('edge', 'core'))
+
+
+@behave.then('no source names what the deploy page refuses')
+def _(context):
+    for name in sources() + glob.glob(os.path.join(ADAPTER, '*')) + [os.path.join(ROOT, 'deploy', 'system.toml')]:
+        if os.path.isfile(name):
+            with open(name) as f:
+                got = re.findall(REFUSED, f.read())
+            assert not got, (name, got)
--- a/zinctrail/sim/checks.py
+++ b/zinctrail/sim/checks.py
@@ -232,7 +232,7 @@
 
 
 @check('home-regions')
-def home_regions(cast):
+def homes(cast):
     out = []
     cells = {n.place.http: n.place.cell for n in cast.world.of('prox')}
     ran_in = {(r['id'], r['inc']): r['cell'] for r in cast.notes.runs}
