Settings are checked whole: every fault with its place, none for what is not known

Cause: an odd type in a listen address, a zone table or a bound broke the start with a trace (exit 1), or was told without its place; contact_ms of 2000 and below, a repeat ratio or ttl of 0 came out as flags that our own checks refuse, so that a deployment with such bounds would not start at all.

--- /dev/null
+++ b/features/steps/platform_settings_steps.py
@@ -0,0 +1,86 @@
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+import behave
+
+import features.stands as stands
+import settings
+import zinctrail.bounds as bounds
+import zinctrail.seam as seam
+
+SEEDS = ['10.1.0.17:8649', '10.2.0.44:8649']
+
+
+def edge():
+    return stands.fields('edge', '10.1.0.15', 'z1', SEEDS)
+
+
+def by_flag(lines):
+    return dict(line.removeprefix('--').partition('=')[::2] for line in lines)
+
+
+@behave.then("an edge machine's become these flags")
+def _(context):
+    assert by_flag(settings.flags(edge())) == {row['flag']: row['value'] for row in context.table}
+
+
+@behave.then("a core machine's become, beside these, two doors, its data folder, and the directory's duty")
+def _(context):
+    got = by_flag(settings.flags(stands.fields('core', '10.1.0.17', 'z1', SEEDS, data='/data/my-core')))
+    assert got['doors'] == '10.1.0.17:8644,10.1.0.17:8649' and got['data'] == '/data/my-core', got
+    assert got['directory'] == '' and 'front' not in got, got
+
+
+@behave.when('the setting {place} is {val}')
+def _(context, place, val):
+    doc = stands.at(edge(), place.partition('.')[0], {}) if place.split('.')[0] not in edge() else edge()
+    if val != 'gone' or place.split('.')[-1] in doc or '.' in place:
+        doc = stands.at(doc, place, stands.GONE if val == 'gone' else json.loads(val))
+    context.faults, context.lines = [], []
+    try:
+        context.lines = settings.flags(doc)
+    except settings.Unusable as e:
+        context.faults = e.faults
+
+
+@behave.then('the settings are told at {place}')
+def _(context, place):
+    assert [p for p, _ in context.faults] == [place], context.faults
+
+
+@behave.then('the settings are fine')
+def _(context):
+    assert not context.faults, context.faults
+    got = by_flag(context.lines)
+    names = {f.name: f for f in bounds.Bounds.__dataclass_fields__.values()}
+    made = {}
+    for k, v in got.items():
+        name = k.removesuffix('_ms')
+        if name in names:
+            made[name] = seam.ms(int(v)) if k.endswith('_ms') else type(names[name].default)(v)
+    # Why: what the product would refuse must not come out of settings that are fine.
+    assert bounds.Bounds(**made).faults() == [], (made, bounds.Bounds(**made).faults())
+
+
+@behave.then('ztcore and ztprox started with {what} end with 2 and say {lines}')
+def _(context, what, lines):
+    folder = tempfile.mkdtemp(prefix='zt-settings-')
+    name = os.path.join(folder, 'node.json')
+    text = {'half a document': b'{"ip_address": "10', 'a list': b'[]', 'bytes of no text': b'\xff\xfe{}',
+            'three faults': json.dumps(stands.at(stands.at(stands.at(edge(), 'ip_address', 7), 'zones', stands.GONE),
+                                                 'bounds.ttl_max_s', 'x')).encode()}.get(what)
+    if text is not None:
+        with open(name, 'wb') as f:
+            f.write(text)
+    env = {k: v for k, v in os.environ.items() if k != 'ZINCTRAIL_SETTINGS'}
+    if what != 'no file named':
+        env['ZINCTRAIL_SETTINGS'] = name
+    for program in ('ztcore', 'ztprox'):
+        got = subprocess.run([sys.executable, f'platform/{program}.py'], cwd=stands.ROOT, env=env, text=True,
+                             stdout=subprocess.PIPE, stderr=subprocess.STDOUT, timeout=60)
+        assert got.returncode == 2, (program, got.returncode, got.stdout)
+        for line in lines.split(', '):
+            assert line in got.stdout, (program, line, got.stdout)
