--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -57,7 +57,7 @@
 def through(headers):
     """The headers that concern more than one connection."""
     # Why named ones too: a header that the connection's own names is of that connection only.
-    named = {k.strip().lower() for k in headers.get('connection', '').split(',')} - set(KEPT)
+    named = {k.strip().lower() for k in headers.get('connection', '').split(',')} - KEPT
     return {k: v for k, v in headers.items() if k not in HOP and k not in named}
 
 
