--- a/features/steps/days_steps.py
+++ b/features/steps/days_steps.py
@@ -154,13 +154,14 @@
 @behave.given('days of {names} under seeds {seeds}')
 def _(context, names, seeds):
     context.names, context.seeds = names.split(','), [int(s) for s in seeds.split(',')]
+    context.make, context.guards = day, GUARDS
 
 
 @behave.then('checker {checker} finds nothing')
 def _(context, checker):
     context.checker = checker
     for seed in context.seeds:
-        d = day(context.names, seed, checker)
+        d = context.make(context.names, seed, checker)
         assert d.verdicts(checker) == [], (d.verdicts(checker)[:5], d.again())
         # Why: a day in which nothing was served, or no fault found its mark, would prove nothing.
         assert len(d.cast.notes.runs) > 500 and not d.missed, (d.cast.tally(), d.missed)
@@ -171,9 +172,9 @@
     found = []
     for seed in context.seeds:
         with contextlib.ExitStack() as stack:
-            for patch in GUARDS[guard]():
+            for patch in context.guards[guard]():
                 stack.enter_context(patch)
-            d = day(context.names, seed, context.checker)
+            d = context.make(context.names, seed, context.checker)
             found += d.verdicts(context.checker)
         if found:
             return
--- /dev/null
+++ b/features/steps/open_days_steps.py
@@ -0,0 +1,170 @@
+"""Days of open traffic: what its checkers must see once a guard is off; kept seeds.
+
+The steps that judge ("checker ... finds nothing", "with guard ... off") are
+those of days_steps.py.
+"""
+
+import unittest.mock as mock
+
+import behave
+
+import zinctrail.bounds as bounds
+import zinctrail.ctl.coord as coord
+import zinctrail.ctl.items as items
+import zinctrail.ctl.routes as routes
+import zinctrail.data.open as open_
+import zinctrail.data.passes as passes
+import zinctrail.data.proxy as proxy
+import zinctrail.data.repeats as repeats
+import zinctrail.agree.voter as voter
+import zinctrail.seam as seam
+import zinctrail.sim.open_days as open_days
+import zinctrail.sim.world as world
+
+ms = seam.ms
+NEEDS_APPS = ('one', 'order', 'stale', 'value', 'history')
+
+
+def day(names, seed, checker):
+    return open_days.Day(seed, names, length=ms(12000), coord=checker in NEEDS_APPS, drift=0.02).run()
+
+
+# -- guards, each switched off as narrowly as may be -----------------------
+
+def off(obj, name, new):
+    return [mock.patch.object(obj, name, new)]
+
+
+def repeatable(whole=open_.match):
+    """Whatever a rule says, a request may be sent again after it may have run."""
+    def match(prox, rec):
+        got = whole(prox, rec)
+        rec.once = False
+        return got
+    return swap(whole, match)
+
+
+def swap(old, new):
+    return off(open_, 'PASSES', [new if p is old else p for p in open_.PASSES])
+
+
+def only_faults(rec, res):
+    return res.fault
+
+
+def no_faults(rec, res):
+    # Taken for whole, though it was cut short.
+    if res.fault == 'reply cut short':
+        res.fault = ''
+    return res.fault
+
+
+def not_run_at_all(self, rec, e, whole=open_.Open.say_open):
+    whole(self, rec, passes.Drop(503, str(e)))
+
+
+def altered(self, rec, whole=open_.Open.dispatch_open):
+    whole(self, rec)
+    self.out[-1].headers['zt-id'] += 'x'
+
+
+def unnamed(self, rec, whole=open_.Open.dispatch_open):
+    whole(self, rec)
+    self.out[-1].headers.pop('zt-inc')
+
+
+def any_state(self, inc):
+    row = self.end(inc)
+    return row is not None and not self.emptied(row['cell'])
+
+
+def any_version(txn, doc, whole=items.apply):
+    res = whole(txn, doc)
+    for key, version, row in items.flat(doc):
+        txn.put('items', key, {'v': version, 'row': row})
+    return res
+
+
+def at_once(self):
+    self.out.append(seam.Exit(0))
+
+
+def never_given_up(self, rec, until):
+    rec.parked = 'room'
+
+
+def no_elections(self, whole=voter.Voter.plan_election):
+    # Why not at first: the day has to begin.
+    if self.now < ms(9000):
+        whole(self)
+
+
+def sooner(core, txn, args, whole=coord.OPS['lock.hold'][0]):
+    res = whole(core, txn, args)
+    core.lock_until[args['name']] = txn.now + ms(args['lease_ms'] / 4)
+    return res
+
+
+def put_anew(core, txn, args, whole=coord.OPS['cell.put'][0]):
+    row = txn.get('values', args['name'])
+    if row:
+        txn.put('values', args['name'], dict(row, past=[], value=row['value'] + ' '))
+    return whole(core, txn, args)
+
+
+def any_revision(core, txn, args, whole=coord.OPS['cell.put'][0]):
+    return whole(core, txn, {k: v for k, v in args.items() if k != 'rev'})
+
+
+def skipping(core, txn, args, whole=coord.OPS['cell.watch'][0]):
+    res = whole(core, txn, args)
+    return dict(res, events=res['events'][1:])
+
+
+def forget_soon(txn, epoch, kept, whole=coord.forget):
+    whole(txn, epoch, 1)
+
+
+def op(name, fn):
+    return [mock.patch.dict(coord.OPS, {name: (fn, coord.OPS[name][1])})]
+
+
+GUARDS = {
+    'at most once': repeatable,
+    'unknown outcomes': lambda: off(open_.Open, 'say_open', not_run_at_all),
+    'whose answer it is': lambda: off(open_, 'fault_of', only_faults),
+    'whole answers': lambda: off(open_, 'fault_of', no_faults),
+    'the id as it came': lambda: off(open_.Open, 'dispatch_open', altered),
+    # Why resting too: what can't be connected to is left alone for longer than an address takes to be used again.
+    'naming the incarnation': lambda: off(open_.Open, 'dispatch_open', unnamed)
+    + off(open_.Open, 'rest', lambda self, inc: None),
+    'publishing to proxies': lambda: off(proxy.Prox, 'applied', lambda self, rows: None)
+    + off(routes.Routes, 'stale', lambda self: None),
+    'versions': lambda: off(items, 'apply', any_version),
+    'checking items': lambda: off(items, 'check', lambda doc, pools=None: []),
+    'syncing': lambda: off(world.Disk, 'syncs', False),
+    'elections': lambda: off(voter.Voter, 'plan_election', no_elections),
+    'drain marks': lambda: off(routes.Routes, 'usable', any_state),
+    'finishing before the end': lambda: off(proxy.Prox, 'alarm_part', at_once),
+    'patience': lambda: off(open_.Open, 'queue_open', never_given_up),
+    'the repeat bound': lambda: off(repeats.Window, 'fits', lambda self, now, proxies: True),
+    'turns at the cold': lambda: off(open_.Open, 'cold_now', lambda self, inc, row: False),
+    'home': lambda: off(routes.Routes, 'region', lambda self, cell: 'r0'),
+    'emptied cells': lambda: off(routes.Routes, 'emptied', lambda self, cell: False),
+    'lock terms': lambda: op('lock.hold', sooner),
+    'values known again': lambda: op('cell.put', put_anew),
+    'concerns': lambda: op('cell.put', any_revision),
+    'whole watches': lambda: op('cell.watch', skipping),
+    'history': lambda: off(coord, 'forget', forget_soon),
+}
+
+
+@behave.given('open days of {names} under seeds {seeds}')
+def _(context, names, seeds):
+    context.names, context.seeds = names.split(','), [int(s) for s in seeds.split(',')]
+    context.make, context.guards = day, GUARDS
+
+
+@behave.given('an open day of {names} under seed {seed:d}')
+def _(context, names, seed):
+    context.day = open_days.Day(seed, names.split(','), length=ms(20000)).run()
--- a/zinctrail/sim/days.py
+++ b/zinctrail/sim/days.py
@@ -18,7 +18,10 @@
 import zinctrail.sim.world as world
 
 ms = seam.ms
+SHAPES = fleet.PRESETS
 FAULTS = {}
+# What a day gets in place of one disk too many.
+ALONE = 'kill_master'
 # Faults after which a control node's disk is gone: no two of them belong into one day.
 LOSE_DISK = ('replace_core', 'lose_disk', 'damage_disk', 'region_for_good', 'cell_for_good', 'machine_for_good')
 
@@ -31,6 +34,8 @@
 class Day:
     """One seeded run: start, load, faults, a quiet end, verdicts."""
 
+    checks = checks
+
     def __init__(self, seed, names=(), shape='small', length=ms(30000), trace=False, coord=True, bound=None,
                  rate=None, wild=0.1, plain=None, drift=None):
         self.seed, self.names, self.length, self.coord = seed, list(names), length, coord
@@ -840,32 +845,34 @@
     return ms(8000)
 
 
-def main(argv):
+def main(argv, kind=None, doc=__doc__):
+    """`kind`: the module whose Day, FAULTS and checks are meant; this one by default."""
+    kind = kind or sys.modules[__name__]
     opts = dict(a.lstrip('-').partition('=')[::2] for a in argv)
     if 'help' in opts:
-        print(__doc__.strip())
+        print(doc.strip())
         print('\n  --search=N   N seeds of random faults from --seed on, --at-once=8 of them at a time'
-          '\n  --shrink     the fewest of --faults that still bring about what they do'
-              '\n  --shape=small|many|accra|ukks  --seconds=N  --rate=N  --trace'
-              f'\n\nFaults: {", ".join(FAULTS)}')
+              '\n  --shrink     the fewest of --faults that still bring about what they do'
+              f'\n  --shape={"|".join(kind.SHAPES)}  --seconds=N  --rate=N  --trace'
+              f'\n\nFaults: {", ".join(kind.FAULTS)}')
         return 0
     if 'search' in opts:
         import zinctrail.sim.search as search
-        return search.main(opts)
+        return search.main(opts, kind.__name__)
     names = [n for n in opts.get('faults', '').split(',') if n]
-    unknown = [n for group in names for n in group.split('+') if n not in FAULTS]
+    unknown = [n for group in names for n in group.split('+') if n not in kind.FAULTS]
     if unknown:
         print(f'no such faults: {", ".join(unknown)}', file=sys.stderr)
         return 2
     if 'shrink' in opts:
         import zinctrail.sim.search as search
-        return search.shrink(opts, names)
-    day = Day(int(opts.get('seed', 1)), names, opts.get('shape', 'small'),
-              ms(1000 * float(opts.get('seconds', 30))), 'trace' in opts,
-              rate=float(opts['rate']) if 'rate' in opts else None).run()
+        return search.shrink(opts, names, kind.__name__)
+    day = kind.Day(int(opts.get('seed', 1)), names, opts.get('shape', 'small'),
+                   ms(1000 * float(opts.get('seconds', 30))), 'trace' in opts,
+                   rate=float(opts['rate']) if 'rate' in opts else None).run()
     bad = day.verdicts()
-    print(f'{day.cast.tally()} faults of apps {sum(a.faults for a in day.cast.apps)}'
-          f' worst {checks.figures(day.cast)}' + (f' found nothing to break: {day.missed}' if day.missed else ''))
+    print(f'{day.cast.tally()} worst {day.checks.figures(day.cast)}'
+          + (f' found nothing to break: {day.missed}' if day.missed else ''))
     for text in bad:
         print(text)
     if bad:
@@ -874,4 +881,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1:]))
+    # Why by its name: run as a script, this module would be there twice, with two registries.
+    import zinctrail.sim.days as itself
+    sys.exit(itself.main(sys.argv[1:]))
--- /dev/null
+++ b/zinctrail/sim/open_checks.py
@@ -0,0 +1,622 @@
+"""One checker a rule of RULES.md that the machines can break, fed by what was seen from outside.
+
+Each reads the notes of clients, endpoints, operators and applications, and
+what the day did to whom. A checker returns a list of texts: what happened that
+must not. ALL is the registry: name -> fn(cast).
+"""
+
+import collections
+
+import zinctrail.seam as seam
+import zinctrail.sim.open_cast as open_cast
+
+ms = seam.ms
+ALL = {}
+T = open_cast.TERMS
+
+
+def check(name):
+    def put(fn):
+        ALL[name] = fn
+        return fn
+    return put
+
+
+def run(cast, only=None):
+    cast.touch = Touch(cast)
+    return [f'{name}: {text}' for name, fn in ALL.items() if only in (None, name) for text in fn(cast)]
+
+
+def sec(t):
+    return f'{t.total_seconds():.3f}s'
+
+
+# -- who was in touch, and when ----------------------------------------------
+
+class Touch:
+    """Whether rules with a time bound hold for a machine at a moment."""
+
+    def __init__(self, cast):
+        w = cast.world
+        self.cores = {n.name for n in w.by_addr.values() if n.role == 'core'}
+        self.own = collections.defaultdict(list)
+        self.core = []
+        down = {}
+        for t, name, what, until in w.marks:
+            if what in ('kill', 'exit'):
+                down[name] = t
+            begins = down.pop(name, t) if what == 'start' else t
+            self.own[name].append((begins, until))
+            if name in self.cores:
+                self.core.append((begins, until))
+        for name, t in down.items():
+            self.own[name].append((t, None))
+            if name in self.cores:
+                # Why the moment only: a core with a majority left settles again without it.
+                self.core.append((t, t))
+        for a, b, begins, until in cast.notes.cuts:
+            if a in self.cores and b in self.cores:
+                self.core += [(begins, begins), (until, until)] if until else [(begins, begins)]
+                self.own[a].append((begins, until))
+                self.own[b].append((begins, until))
+            else:
+                for one, other in ((a, b), (b, a)):
+                    if other in self.cores:
+                        self.own[one].append((begins, until))
+        for begins, until in cast.notes.lossy:
+            self.core.append((begins, until))
+        self.memo = {}
+
+    @staticmethod
+    def calm(spans, begins, until):
+        return not any(b <= until and (e is None or e >= begins) for b, e in spans)
+
+    def machine(self, name, t, length=None):
+        key = (name, t)
+        if key not in self.memo:
+            self.memo[key] = self.calm(self.own[name], t - (length or T['contact']), t)
+        return self.memo[key]
+
+    def settled(self, t, length=None):
+        return self.calm(self.core, t - (length or T['contact']), t)
+
+    def slack(self, name, t, begins=None):
+        """What is added to a bound: nothing in touch, more with an unsettled core, None where no bound holds.
+
+        `begins`: the whole span from there on must have been so.
+        """
+        begins = t if begins is None else begins
+        if not self.calm(self.own[name], begins - T['contact'], t):
+            return None
+        return seam.ZERO if self.calm(self.core, begins - T['contact'], t) else T['stretch']
+
+
+def of_id(cast, row):
+    return cast.by_id.get(row['id'])
+
+
+def answered(tr):
+    """The try has a whole answer."""
+    return tr['t'] is not None and not tr['fault'] and tr['status']
+
+
+def success(tr):
+    return answered(tr) and 200 <= tr['status'] < 300
+
+
+def by_id(rows):
+    out = collections.defaultdict(list)
+    for r in rows:
+        out[r['id']].append(r)
+    return out
+
+
+# -- requests and answers ------------------------------------------------------
+
+@check('twice')
+def twice(cast):
+    return [f'{rid} ran {len(rows)} times' for rid, rows in by_id(cast.notes.runs).items()
+            if len(rows) > 1 and rid in cast.by_id and cast.by_id[rid]['once']]
+
+
+@check('refused')
+def refused(cast):
+    ran = by_id(cast.notes.runs)
+    return [f'{tr["id"]} told {tr["status"]} at {sec(tr["t"])}, ran at {sec(ran[tr["id"]][0]["t"])}'
+            for tr in cast.notes.tries
+            if tr['once'] and answered(tr) and tr['status'] in open_cast.PROMISE and tr['id'] in ran]
+
+
+@check('mixed')
+def mixed(cast):
+    out = []
+    for tr in cast.notes.tries:
+        if not answered(tr):
+            continue
+        said = cast.notes.said.get(tr['id'], ())
+        mine = tr['headers'].get('zt-id')
+        if mine is not None and mine != tr['id']:
+            out.append(f'{tr["id"]}: got the answer to {mine}')
+        elif success(tr):
+            if 'zt-stamp' not in tr['headers']:
+                out.append(f'{tr["id"]}: a success without a stamp')
+            elif not any(s == tr['status'] and b == tr['answer'] for s, b, _ in said):
+                out.append(f'{tr["id"]}: a success whose body no endpoint gave for it')
+    return out
+
+
+@check('unasked')
+def unasked(cast):
+    out = []
+    for r in cast.notes.runs:
+        tr = of_id(cast, r)
+        if tr is None:
+            out.append(f'ran {r["id"]}, which no client sent')
+        elif (r['method'], r['path'], r['body']) != (tr['method'], tr['path'], tr['body']):
+            out.append(f'{r["id"]} ran as {r["method"]} {r["path"]}')
+    return out
+
+
+# -- configuration ---------------------------------------------------------------
+
+class Versions:
+    """What may be in force of each rule at a moment."""
+
+    def __init__(self, cast):
+        self.rows = collections.defaultdict(list)
+        for c in cast.notes.changes:
+            # Why not the refused ones: nothing of them may be in force, ever.
+            if c['status'] not in (400, 409, 413, 422):
+                self.rows[c['key']].append(c)
+        for rows in self.rows.values():
+            rows.sort(key=lambda c: c['v'])
+
+    def may(self, key, t, over):
+        """Rows that may govern a request sent at t, by `over` as the bound on older ones (None: any ever sent)."""
+        rows = [c for c in self.rows[key] if c['t0'] <= t]
+        if over is None:
+            return rows
+        floor = max([c['v'] for c in rows if c['status'] == 200 and c['t'] + over < t], default=-1)
+        return [c for c in rows if c['v'] >= floor]
+
+
+def pools_of(row):
+    if row is None:
+        return set()
+    return {row['pool']} if 'pool' in row else {s['pool'] for s in row.get('shares', ()) if s['weight'] > 0}
+
+
+def key_of(tr):
+    return f'rules/{tr["rule"]}'
+
+
+@check('route')
+def route(cast):
+    out, v = [], Versions(cast)
+    # Why all ever sent: this one knows no time.
+    ever = {key: set().union(*(pools_of(c['row']) for c in rows)) for key, rows in v.rows.items()}
+    for r in cast.notes.runs:
+        tr = of_id(cast, r)
+        if tr and r['service'] not in ever.get(key_of(tr), ()):
+            out.append(f'{r["id"]} of {tr["rule"]} ran at {r["service"]}, which no configuration allows')
+    return out
+
+
+@check('config')
+def config_(cast):
+    """Late: what only an older version allows, once the newer one was acknowledged long enough ago."""
+    out, v = [], Versions(cast)
+    ran = by_id(cast.notes.runs)
+    for tr in cast.notes.tries:
+        slack = cast.touch.slack(tr['front'], tr['t'] or tr['sent_at'], tr['sent_at'] - T['config'])
+        if slack is None:
+            continue
+        may = v.may(key_of(tr), tr['sent_at'], T['config'] + slack)
+        if not may:
+            continue
+        good = set().union(*(pools_of(c['row']) for c in may))
+        for r in ran.get(tr['id'], ()):
+            if r['service'] not in good:
+                out.append(f'{tr["id"]} of {tr["rule"]}, sent at {sec(tr["sent_at"])} to {tr["front"]}, ran at'
+                           f' {r["service"]}; in force {[(c["v"], sorted(pools_of(c["row"]))) for c in may]}')
+        if answered(tr) and tr['status'] == 404 and 'zt-id' not in tr['headers'] and all(c['row'] for c in may):
+            out.append(f'{tr["id"]} of {tr["rule"]}, sent at {sec(tr["sent_at"])} to {tr["front"]}, got 404')
+    return out
+
+
+@check('config-back')
+def config_back(cast):
+    """A machine goes back, within one life of its process, after an endpoint saw the effect of a newer version."""
+    out, v = [], Versions(cast)
+    seen = collections.defaultdict(list)
+    ran = by_id(cast.notes.runs)
+    for tr in sorted(cast.notes.tries, key=lambda tr: tr['sent_at']):
+        key = key_of(tr)
+        rows = v.rows.get(key, ())
+        if len(rows) < 2:
+            continue
+        for r in ran.get(tr['id'], ()):
+            vs = [c['v'] for c in rows if c['t0'] <= r['t'] and r['service'] in pools_of(c['row'])]
+            if not vs:
+                continue
+            who = (tr['front'], tr['life'], key)
+            floor = max([low for t, low in seen[who] if t + T['revert'] * 8 < tr['sent_at']], default=-1)
+            if max(vs) < floor:
+                out.append(f'{tr["id"]} of {tr["rule"]} by {tr["front"]} at {sec(r["t"])}: back from {floor}'
+                           f' to {max(vs)}')
+            seen[who].append((r['t'], min(vs)))
+    return out
+
+
+@check('config-refused')
+def config_refused(cast):
+    """What is invalid is acknowledged; what is valid is refused for good; what was refused is in force."""
+    out = []
+    for c in cast.notes.changes:
+        if c.get('invalid') and c['status'] == 200:
+            out.append(f'{c["key"]} {c["v"]} is invalid and was acknowledged')
+        if not c.get('invalid') and c['status'] in (400, 409, 413, 422):
+            out.append(f'{c["key"]} {c["v"]} is valid and got {c["status"]}')
+    return out
+
+
+@check('config-kept')
+def config_kept(cast):
+    """Read back: each item as the newest acknowledged version or a newer one that was sent, whole."""
+    out = []
+    by = collections.defaultdict(list)
+    for c in cast.notes.changes:
+        by[c['key']].append(c)
+    reads = [r for r in cast.notes.reads if r[2] is not None]
+    if cast.notes.reads and cast.notes.reads[-1][2] is None:
+        out.append('the last read-back had no answer')
+    for t0, t, items in reads:
+        here = {f'{part}/{row["name"]}': row for part in ('rules', 'pools') for row in items[part]}
+        for key, rows in by.items():
+            floor = max([c['v'] for c in rows if c['status'] == 200 and c['t'] <= t0], default=-1)
+            could = [c for c in rows if c['t0'] <= t and c['v'] >= floor
+                     and c['status'] not in (400, 409, 413, 422)]
+            row = here.pop(key, None)
+            if floor < 0 and row is None:
+                continue
+            if not any(c['row'] == row for c in could):
+                out.append(f'read at {sec(t0)}: {key} is {row and row["version"]}, {floor} was acknowledged,'
+                           f' {[c["v"] for c in could]} could be')
+        out += [f'read at {sec(t0)}: {key} was never sent' for key in here]
+    return out
+
+
+@check('denied')
+def denied(cast):
+    v = Versions(cast)
+    bad = []
+    for tr in cast.notes.tries:
+        if answered(tr) and 300 <= tr['status'] < 500 and tr['status'] not in (408, 421, 429) \
+                and 'zt-stamp' not in tr['headers'] and cast.touch.slack(tr['front'], tr['t']) == seam.ZERO:
+            may = v.may(key_of(tr), tr['sent_at'], T['config'])
+            if may and all(c['row'] for c in may):
+                bad.append(tr)
+    if len(bad) > 5 + len(cast.notes.tries) / 500:
+        return [f'{len(bad)} of {len(cast.notes.tries)} proper requests got {sorted({t["status"] for t in bad})}']
+    return []
+
+
+@check('acks')
+def acks(cast):
+    """A proper order without an acknowledgement while the core was settled."""
+    out = []
+    for o in cast.notes.orders:
+        if o.get('invalid'):
+            continue
+        until = o['t0'] + T['ack'] + ms(3) * o['size']
+        end = o['t'] if o['status'] == 200 else cast.world.now
+        if end > until and cast.touch.calm(cast.touch.core, o['t0'] - T['contact'], until):
+            out.append(f'{o["what"]} sent at {sec(o["t0"])} had no acknowledgement by {sec(until)}: {o["status"]}')
+    return out
+
+
+# -- leaving in order --------------------------------------------------------------
+
+@check('drain')
+def drain(cast):
+    out, told = [], {}
+    for t, by, inc, state in cast.notes.states:
+        if cast.touch.slack(by, t) == seam.ZERO:
+            told.setdefault(inc, t)
+    for r in cast.notes.arrivals:
+        at = told.get(r['inc'])
+        tr = of_id(cast, r)
+        if at is None or r['other'] or tr is None or r['t'] <= at + T['drain']:
+            continue
+        if cast.touch.slack(tr['front'], r['t'], at) == seam.ZERO:
+            out.append(f'{r["id"]} by {tr["front"]} reached {r["inc"]} {sec(r["t"] - at)} after it was acknowledged')
+    return out
+
+
+@check('lost')
+def lost(cast):
+    """Around a SIGTERM, and around changes of the configuration: read, and ended without a complete answer."""
+    out = []
+    stops, kills = collections.defaultdict(list), collections.defaultdict(list)
+    for t, name, what, _ in cast.world.marks:
+        if what == 'stop':
+            stops[name].append(t)
+        elif what in ('kill', 'pause'):
+            kills[name].append(t)
+    ran, broke = by_id(cast.notes.runs), cast.notes.broke
+    for tr in cast.notes.tries:
+        if tr['t'] is None or not tr['sent']:
+            continue
+        for at in stops[tr['front']]:
+            if not at <= tr['t'] <= at + T['grace'] + ms(1000) or tr['sent_at'] > tr['t']:
+                continue
+            if any(tr['sent_at'] - T['contact'] <= k <= tr['t'] for k in kills[tr['front']]) \
+                    or any(b <= tr['t'] and (e is None or e >= tr['sent_at'] - T['contact'])
+                           for a, b_, b, e in cast.notes.cuts if tr['front'] in (a, b_)):
+                continue
+            if tr['fault'] == 'connection lost':
+                out.append(f'{tr["id"]} sent at {sec(tr["sent_at"])} was broken off at {sec(tr["t"])} by {tr["front"]},'
+                           f' told to end at {sec(at)}')
+            elif answered(tr) and tr['status'] >= 500 and tr['status'] != 503 and 'zt-stamp' not in tr['headers'] \
+                    and tr['t'] < tr['until'] - ms(50) and tr['id'] in ran and tr['id'] not in broke:
+                done = [t for _, _, t in cast.notes.said.get(tr['id'], ())]
+                if not done or max(done) > tr['t']:
+                    out.append(f'{tr["id"]} got {tr["status"]} at {sec(tr["t"])} while at work, {tr["front"]} was'
+                               f' told to end at {sec(at)}')
+    return out
+
+
+@check('held')
+def held(cast):
+    """Whatever is given up on is told so at once: nobody is left without an answer, and offered to no endpoint."""
+    out = []
+    offered = by_id(cast.notes.arrivals)
+    for tr in cast.notes.tries:
+        if tr['fault'] == 'late' and tr['id'] not in offered and cast.touch.slack(tr['front'], tr['t'], tr['sent_at']) == seam.ZERO \
+                and tr['t'] - tr['sent_at'] > ms(300):
+            out.append(f'{tr["id"]} of {tr["rule"]} had no answer from {tr["front"]} by {sec(tr["t"])}')
+    return out
+
+
+# -- further tries, zones, regions --------------------------------------------------
+
+@check('budget')
+def budget(cast):
+    out = {}
+    seen = set()
+    extra, asked = collections.defaultdict(list), collections.defaultdict(list)
+    for r in cast.notes.arrivals:
+        if r['id'] in seen:
+            extra[r['service']].append(r['t'])
+        seen.add(r['id'])
+    v = Versions(cast)
+    for tr in cast.notes.tries:
+        may = v.may(key_of(tr), tr['sent_at'], None)
+        for pool in set().union(*(pools_of(c['row']) for c in may)) if may else ():
+            asked[pool].append(tr['sent_at'])
+    for service, times in extra.items():
+        lo = 0
+        for hi, t in enumerate(times):
+            while times[lo] <= t - T['window']:
+                lo += 1
+            n = max(sum(1 for a in asked[service] if b - T['window'] < a <= b)
+                    for b in (t, t - T['window'], t - T['window'] / 2)) if hi - lo + 1 > T['slack'] else 0
+            if hi - lo + 1 > T['ratio'] * n + T['slack']:
+                out.setdefault(service, f'{service}: {hi - lo + 1} further arrivals for {n} requests in the window'
+                                        f' before {sec(t)}')
+    return list(out.values())
+
+
+@check('failback')
+def failback(cast):
+    out = {}
+    spans = collections.defaultdict(list)
+    for begins, until, inc in cast.notes.colds:
+        spans[inc].append((begins, until))
+    by = collections.defaultdict(list)
+    for r in cast.notes.arrivals:
+        tr = of_id(cast, r)
+        if not r['other'] and tr and any(b <= r['t'] < u for b, u in spans[r['inc']]):
+            by[r['inc']].append((r['t'], tr['sent_at']))
+    bears = open_cast.COLD_PER_S * T['cold_over'] + T['cold_slack']
+    for inc, rows in by.items():
+        for i, (t, _) in enumerate(rows):
+            n = sum(1 for a, s in rows[:i + 1] if a > t - ms(1000) and s > t - ms(1000))
+            if n > bears:
+                out.setdefault(inc, f'{inc} got {n} requests in the second before {sec(t)}, bears {bears:g}')
+    return list(out.values())
+
+
+@check('home')
+def home(cast):
+    out = []
+    for r in cast.notes.arrivals:
+        tr = of_id(cast, r)
+        if tr and tr['home'] and r['cell'].split('/')[0] not in tr['home']:
+            out.append(f'{r["id"]} of {tr["home"]} reached {r["cell"]}')
+    return out
+
+
+@check('evac')
+def evac(cast):
+    out = []
+    for row in cast.notes.evacuations:
+        if not row['on'] or row['t'] is None:
+            continue
+        until = min([x['t0'] for x in cast.notes.evacuations
+                     if not x['on'] and x['cell'] == row['cell'] and x['t0'] > row['t0']], default=None)
+        for r in cast.notes.arrivals:
+            tr = of_id(cast, r)
+            if tr is None or r['other'] or r['cell'] != row['cell'] or (until and r['t'] >= until):
+                continue
+            slack = cast.touch.slack(tr['front'], r['t'], row['t'])
+            if slack is not None and r['t'] > row['t'] + T['evacuation'] + slack:
+                out.append(f'{r["id"]} by {tr["front"]} reached {r["inc"]} in {row["cell"]}'
+                           f' {sec(r["t"] - row["t"])} after its evacuation was acknowledged')
+    return out
+
+
+@check('recover')
+def recover(cast):
+    out = []
+    for began, back, name in cast.notes.closings:
+        before = [tr for tr in cast.notes.tries if tr['sent_at'] < began]
+        after = [tr for tr in cast.notes.tries if tr['sent_at'] > back + T['recovery']]
+        if len(after) < 20 or sum(map(success, before)) < len(before) / 4:
+            continue
+        if sum(map(success, after)) < len(after) / 4:
+            out.append(f'{sum(map(success, after))} of {len(after)} served from 15 s after {name} on')
+    return out
+
+
+# -- locks, numbers, cells --------------------------------------------------------
+
+@check('one')
+def one(cast):
+    out = []
+    by = collections.defaultdict(list)
+    for row in cast.notes.locks:
+        by[row['name']].append(row)
+    for name, rows in by.items():
+        rows.sort(key=lambda r: r['t'])
+        for i, a in enumerate(rows):
+            for b in rows[i + 1:]:
+                if a['holder'] == b['holder']:
+                    continue
+                if b['t'] < a['until']:
+                    out.append(f'{name}: {a["holder"]} until {sec(a["until"])}, {b["holder"]} from {sec(b["t"])}')
+                if a['fence'] == b['fence'] or (a['t'] <= b['sent'] and b['fence'] <= a['fence']):
+                    out.append(f'{name}: fence {b["fence"]} of {b["holder"]} after {a["fence"]} of {a["holder"]}')
+    return out
+
+
+def rising(rows, what):
+    """Rows {t0, t, n}: given twice, or not above one that was given before the call was sent."""
+    out = [f'{what} {n} was given {k} times' for n, k in collections.Counter(r['n'] for r in rows).items() if k > 1]
+    ends = sorted(rows, key=lambda r: r['t'])
+    at, top = 0, None
+    for r in sorted(rows, key=lambda r: r['t0']):
+        while at < len(ends) and ends[at]['t'] <= r['t0']:
+            top = max(top or 0, ends[at]['n'])
+            at += 1
+        if top is not None and r['n'] <= top:
+            out.append(f'{what} {r["n"]}, asked for at {sec(r["t0"])}, is not above {top}')
+    return out
+
+
+def group_of(name):
+    return name[:name.index('.') + 1]
+
+
+@check('order')
+def order(cast):
+    out = rising([{'t0': r['t0'], 't': r['t'], 'n': r['value']} for r in cast.notes.numbers], 'number')
+    good = [p for p in cast.notes.puts if p['status'] == 200]
+    for group in sorted({group_of(p['name']) for p in good}):
+        out += rising([{'t0': p['t0'], 't': p['t'], 'n': p['rev']} for p in good if group_of(p['name']) == group],
+                      f'revision of {group}')
+    by = collections.defaultdict(list)
+    for p in good:
+        by[p['name']].append(p)
+    for name, rows in by.items():
+        for p in rows:
+            between = [q['rev'] for q in rows if p['concerns'] < q['rev'] < p['rev']]
+            if between:
+                out.append(f'{name}: put concerning {p["concerns"]} got {p["rev"]}, over {between}')
+    for w in cast.notes.watches:
+        if w['status'] != 200:
+            continue
+        revs = [e['rev'] for e in w['events']]
+        if revs != sorted(set(revs)):
+            out.append(f'watch of {w["group"]} from {w["after"]}: {revs} does not rise')
+        if w['after']:
+            out += [f'watch of {w["group"]} from {w["after"]} to {w["rev"]} skips {p["rev"]}' for p in good
+                    if group_of(p['name']) == w['group'] and w['after'] < p['rev'] <= w['rev']
+                    and p['rev'] not in revs]
+    return out
+
+
+@check('stale')
+def stale(cast):
+    out = []
+    by = collections.defaultdict(list)
+    for p in cast.notes.puts:
+        if p['status'] == 200:
+            by[p['name']].append(p)
+    for g in cast.notes.gets:
+        floor = max([p['rev'] for p in by[g['name']] if p['t'] <= g['t0']], default=0)
+        if g['rev'] < floor:
+            out.append(f'{g["name"]} read at {sec(g["t0"])} at revision {g["rev"]}, {floor} was acknowledged before')
+    return out
+
+
+def shown(cast):
+    """(name, value, revision, when) of all that reads, watches and acknowledged puts showed."""
+    for g in cast.notes.gets:
+        if g['value'] is not None:
+            yield g['name'], g['value'], g['rev'], g['t']
+    for w in cast.notes.watches:
+        for e in w['events']:
+            yield e['name'], e['value'], e['rev'], w['t']
+
+
+@check('value')
+def value(cast):
+    """A value nobody put, under two revisions, or whose put was turned away; a 412 of a revision never given."""
+    out = []
+    puts = {p['value']: p for p in cast.notes.puts}
+    revs = collections.defaultdict(set)
+    known = collections.defaultdict(set)
+    for p in cast.notes.puts:
+        if p['status'] == 200:
+            revs[p['name'], p['value']].add(p['rev'])
+            known[p['name']].add(p['rev'])
+    for name, val, rev, t in shown(cast):
+        p = puts.get(val)
+        revs[name, val].add(rev)
+        known[name].add(rev)
+        if p is None or p['name'] != name:
+            out.append(f'{name} showed {val}, which nobody put there')
+        elif p['status'] == 409 or (p['all'] and set(p['all']) <= {503, 429}):
+            out.append(f'{name} showed {val} at {sec(t)}, whose put was told {p["all"]}')
+    out += [f'{name}: {val} is shown under {sorted(r)}' for (name, val), r in revs.items() if len(r) > 1]
+    for p in cast.notes.puts:
+        unsure = any(q['name'] == p['name'] and q['status'] not in (200, 409) for q in cast.notes.puts)
+        if p['status'] == 409 and p['told'] and p['told'] not in known[p['name']] and not unsure:
+            out.append(f'{p["name"]}: told of revision {p["told"]}, which no put was given')
+    return out
+
+
+@check('history')
+def history(cast):
+    return [f'watch of {w["group"]} from {w["after"]} got 410, {sec(w["t0"] - w["given"])} after it was given'
+            for w in cast.notes.watches if w['status'] == 410 and w['given'] is not None
+            and w['t'] - w['given'] < T['history']]
+
+
+def figures(cast):
+    """The worst seen against each bound, in ms, or as a ratio; what did not occur is left out."""
+    out, n = {}, cast.notes
+
+    def worst(name, val):
+        out[name] = max(out.get(name, val), round(val, 2))
+    told = {}
+    for t, by, inc, state in n.states:
+        told.setdefault(inc, t)
+    for r in n.arrivals:
+        if r['inc'] in told and not r['other'] and r['t'] > told[r['inc']]:
+            worst('drained_ms', seam.to_ms(r['t'] - told[r['inc']]))
+    for row in n.evacuations:
+        if row['on'] and row['t']:
+            until = min([x['t0'] for x in n.evacuations if not x['on'] and x['cell'] == row['cell']
+                         and x['t0'] > row['t0']], default=cast.world.now)
+            for r in n.arrivals:
+                if r['cell'] == row['cell'] and not r['other'] and row['t'] < r['t'] < until:
+                    worst('evacuated_ms', seam.to_ms(r['t'] - row['t']))
+    for o in n.orders:
+        if o['status'] == 200:
+            worst('ack_ms', seam.to_ms(o['t'] - o['t0']))
+    good = sum(map(success, n.tries))
+    worst('failed_share', 1 - good / max(1, len(n.tries)))
+    return out
+
--- a/zinctrail/sim/search.py
+++ b/zinctrail/sim/search.py
@@ -1,56 +1,59 @@
 """A search over seeds: random faults, alone and several at once, on every core of the machine."""
 
 import collections
+import importlib
 import multiprocessing
 import random
 import traceback
 
 import zinctrail.seam as seam
-import zinctrail.sim.checks as checks
-import zinctrail.sim.days as days
 
 
-def plan(seed):
-    """The faults of a seed's day."""
+def plan(seed, days):
+    """The faults of a seed's day, out of those of a module of days."""
     rng = random.Random(f'plan/{seed}')
     out, disks = [], 0
+    closing = getattr(days, 'CLOSING', ())
     for _ in range(rng.randrange(1, 4)):
-        names = rng.sample(sorted(days.FAULTS), rng.choice((1, 1, 2, 2, 3)))
+        names = rng.sample(sorted(set(days.FAULTS) - set(closing)), rng.choice((1, 1, 2, 2, 3)))
         # Why one of these a day: two disks of three lost at once are beyond what is promised (operate/recover.md).
         for name in [n for n in names if n in days.LOSE_DISK]:
             disks += 1
             if disks > 1:
                 names.remove(name)
-        out.append('+'.join(names) or 'kill_master')
+        out.append('+'.join(names) or days.ALONE)
+    if closing and rng.random() < 0.3:
+        out.append(rng.choice([c for c in closing if not (disks and c in days.LOSE_DISK)]))
     return out
 
 
 def one(job):
-    seed, shape, seconds, rate, names = job
-    names = names or plan(seed)
+    kind, seed, shape, seconds, rate, names = job
+    days = importlib.import_module(kind)
+    names = names or plan(seed, days)
     try:
         day = days.Day(seed, names, shape, seam.ms(1000 * seconds), rate=rate).run()
         bad = day.verdicts()
         hit = [n for group in names for n in group.split('+') if n not in day.missed]
-        return seed, names, bad, day.cast.tally(), day.again(), checks.figures(day.cast), hit
+        return seed, names, bad, day.cast.tally(), day.again(), day.checks.figures(day.cast), hit
     except Exception as e:
         # Why caught: one broken seed must not hide the others.
 
         text = traceback.format_exc().strip().splitlines()
         return seed, names, [f'broke: {type(e).__name__}: {e} at {text[-3].strip()}'], {}, (
-            f'python -m zinctrail.sim.days --seed={seed} --shape={shape} --faults={",".join(names)}'
+            f'python -m {kind} --seed={seed} --shape={shape} --faults={",".join(names)}'
             f' --seconds={seconds:g}'), {}, []
 
 
-def shrink(opts, names):
+def shrink(opts, names, kind):
     """Leave out faults one by one for as long as the same kind of finding stays."""
     def found(names):
-        return {b.split(':', 1)[0] for b in one((int(opts['seed']), opts.get('shape', 'small'),
+        return {b.split(':', 1)[0] for b in one((kind, int(opts['seed']), opts.get('shape', 'small'),
                                                  float(opts.get('seconds', 30)),
                                                  float(opts['rate']) if 'rate' in opts else None, names))[2]}
     groups = [n.split('+') for n in names]
-    kind = found(names)
-    if not kind:
+    sort = found(names)
+    if not sort:
         print('nothing is found with all of them')
         return 0
     i = 0
@@ -59,18 +62,18 @@
         g, k = flat[i]
         less = [[n for x, n in enumerate(names) if (y, x) != (g, k)] for y, names in enumerate(groups)]
         less = [names for names in less if names]
-        if less and kind & found(['+'.join(names) for names in less]):
+        if less and sort & found(['+'.join(names) for names in less]):
             groups = less
         else:
             i += 1
-    print(f'{sorted(kind)} stays with --faults={",".join("+".join(names) for names in groups)}')
+    print(f'{sorted(sort)} stays with --faults={",".join("+".join(names) for names in groups)}')
     return 1
 
 
-def main(opts):
+def main(opts, kind):
     first, n = int(opts.get('seed', 1)), int(opts['search'])
     names = [f for f in opts.get('faults', '').split(',') if f]
-    jobs = [(s, opts.get('shape', 'small'), float(opts.get('seconds', 30)),
+    jobs = [(kind, s, opts.get('shape', 'small'), float(opts.get('seconds', 30)),
              float(opts['rate']) if 'rate' in opts else None, names) for s in range(first, first + n)]
     kinds, tally, hits, bad_seeds, worst = collections.Counter(), collections.Counter(), collections.Counter(), 0, {}
     with multiprocessing.Pool(int(opts.get('at-once', 8))) as pool:
@@ -92,5 +95,5 @@
     print(f'worst (value, seed): {worst}')
     print(f'days that each fault hit: {dict(sorted(hits.items()))}')
     if not names:
-        print(f'never hit: {sorted(set(days.FAULTS) - set(hits))}')
+        print(f'never hit: {sorted(set(importlib.import_module(kind).FAULTS) - set(hits))}')
     return 1 if bad_seeds else 0
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -92,6 +92,8 @@
         # The same with their fields.
         self.told = []
         self.exited = False
+        # Whether it takes no new connections of open traffic.
+        self.shut = False
         self.level = None
         # How fast this machine's clock goes; a machine lost for good starts no more.
         self.drift = 1.0
@@ -102,7 +104,9 @@
         if self.scrapped:
             return
         self.life += 1
+        w.mark(self.name, 'start')
         self.up, self.paused, self.held, self.wake_at, self.exited = True, None, [], None, False
+        self.shut = False
         rng = random.Random(f'{w.seed}/{self.name}/{self.life}')
         if self.role == 'core':
             try:
@@ -121,6 +125,7 @@
         """Gone at once; with the power, what was not synced goes too."""
         if not self.up:
             return
+        self.world.mark(self.name, 'exit' if self.exited else 'kill')
         self.up = False
         self.life += 1
         if power:
@@ -134,6 +139,7 @@
                 self.world.after(self.world.delay(), other.feed_life, other.life, 'lost', self.place.addr)
 
     def pause(self, length):
+        self.world.mark(self.name, 'pause', self.world.now + length)
         self.paused = self.world.now + length
         self.world.at(self.paused, self.resume)
 
@@ -157,6 +163,8 @@
             return
         w = self.world
         w.inputs += 1
+        if kind == 'stop':
+            w.mark(self.name, 'stop')
         for i, e in enumerate(self.machine.feed(kind, w.now * self.drift, *args)):
             if isinstance(e, seam.Write):
                 try:
@@ -174,11 +182,17 @@
                 EFFECTS[type(e)](self, e)
         self.set_alarm()
 
-    def call(self, call, back):
+    def call(self, call, back, kind='http'):
         self.world.no += 1
         rid = self.world.no
         self.rids[rid] = back
-        self.feed('http', rid, call)
+        self.feed(kind, rid, call)
+        return rid
+
+    def hang_up(self, rid):
+        """The other side closed its connection."""
+        if self.rids.pop(rid, None) is not None:
+            self.feed('hung_up', rid)
 
     def set_alarm(self):
         if not self.up or self.paused is not None:
@@ -220,11 +234,31 @@
     def do_done(self, e):
         self.world.after(seam.ZERO, self.feed_life, self.life, 'done', e.name)
 
+    def do_leave(self, e):
+        self.shut = self.shut or e.shut
+
     def do_exit(self, e):
         self.exited = True
         self.kill()
 
 
+class Front:
+    """Where a proxy takes open traffic."""
+
+    def __init__(self, node):
+        self.node, self.name = node, node.name
+
+    up = property(lambda self: self.node.up and not self.node.shut)
+    life = property(lambda self: self.node.life)
+    shut = property(lambda self: self.node.shut)
+
+    def call(self, call, back):
+        return self.node.call(call, back, 'front')
+
+    def hang_up(self, rid):
+        self.node.hang_up(rid)
+
+
 EFFECTS = {
     seam.Send: Node.do_send,
     seam.Outcome: Node.do_outcome,
@@ -232,7 +266,7 @@
     seam.Close: lambda node, e: None,
     seam.Log: Node.do_log,
     seam.Done: Node.do_done,
-    seam.Leave: lambda node, e: None,
+    seam.Leave: Node.do_leave,
     seam.Limits: lambda node, e: None,
     seam.Exit: Node.do_exit,
 }
@@ -244,6 +278,8 @@
 
     # Why switchable: a test shows that a newcomer is reached without it.
     verifies = True
+    # Whether callers that give up close their connection, as those of open traffic do.
+    hang_ups = False
 
     def __init__(self, seed, bound=None, trace=False):
         self.seed = seed
@@ -274,6 +310,11 @@
         self.bytes = {}
         self.die_in_write = None
         self.on_deliver = None
+        # What befell processes from outside: (when, process, what, until when).
+        self.marks = []
+
+    def mark(self, name, what, until=None):
+        self.marks.append((self.now, name, what, until or self.now))
 
     # -- time -------------------------------------------------------------
 
@@ -315,8 +356,12 @@
 
     # -- network ----------------------------------------------------------
 
-    def delay(self):
-        return ms(0.2 + self.rng.expovariate(1 / 0.8)) + self.slow
+    def delay(self, a='', b=''):
+        return ms(0.2 + self.rng.expovariate(1 / 0.8)) + self.slow + self.far(a, b)
+
+    def far(self, a, b):
+        """What the way between two named parties takes more than the shortest."""
+        return seam.ZERO
 
     def cut(self, a, b, both=True):
         self.cuts[a, b] = True
@@ -354,7 +399,7 @@
         if self.is_cut(src.name, dst.name) or self.rng.random() < self.loss:
             return
         for _ in range(2 if self.rng.random() < self.copies else 1):
-            when = max(self.now + self.delay(), self.last.get((src.name, dst.name), seam.ZERO))
+            when = max(self.now + self.delay(src.name, dst.name), self.last.get((src.name, dst.name), seam.ZERO))
             self.last[src.name, dst.name] = when
             self.at(when, self.deliver, src, dst, dst.life, text)
 
@@ -386,11 +431,22 @@
 
         def back(res):
             if not self.is_cut(name, src) and not self.rng.random() < self.reply_loss.get(src, 0.0):
-                self.after(self.delay(), done, res)
+                self.after(self.delay(name, src), done, res)
         call = seam.Call(method, path, {k.lower(): v for k, v in headers.items()}, body)
-        self.after(self.delay(), there_call, there, there.life, call, back)
+        self.after(self.delay(src, name), self.arrive, there, there.life, call, back, d)
         return d
 
+    def arrive(self, there, life, call, back, d):
+        if there.life != life or not there.up:
+            # Why unsent: whoever has shut, or ended by itself after that, closes connections that it has read.
+            unread = getattr(there, 'shut', False)
+            back(seam.Fetched(sent=not unread, fault='closed unread' if unread else 'connection lost'))
+            return
+        rid = there.call(call, back)
+        if self.hang_ups and rid is not None:
+            # Why when it is done: whoever waits no longer closes his connection.
+            d.addCallback(lambda res: there.hang_up(rid) or res)
+
     def fetch_end(self, src, e):
         """A call to one incarnation: a new connection is asked who is there before its first request."""
         there, life = self.links.get((src, e.inc), (None, 0))
@@ -414,12 +470,15 @@
 
     # -- building ---------------------------------------------------------
 
-    def add(self, name, role, cell, seeds=(), addr=None):
+    def add(self, name, role, cell, seeds=(), addr=None, front=False, directory=False):
         # Why of all ever: an address is not given twice, even when its machine is gone for good.
         n = len(self.by_addr) + 1
         addr = addr or f'10.0.{n >> 8}.{n & 255}:1000'
         http = addr.rpartition(':')[0] + ':80'
-        node = Node(self, name, role, partner.Place(addr, http, cell, list(seeds)))
+        node = Node(self, name, role, partner.Place(addr, http, cell, list(seeds), http + '80' if front else '',
+                                                    directory))
+        if front:
+            self.by_http[node.place.front] = Front(node)
         self.nodes[name] = node
         self.by_addr[addr] = node
         self.by_http[http] = node
@@ -435,10 +494,3 @@
         """The master that a quorum still answers, if there is one."""
         good = [n for n in self.masters() if n.machine.rep.committed[0] == n.machine.term]
         return max(good, key=lambda n: n.machine.term, default=None)
-
-
-def there_call(there, life, call, back):
-    if there.life != life or not there.up:
-        back(seam.Fetched(fault='connection lost'))
-        return
-    there.call(call, back)
