A lock that a new master has not timed yet counts in full; none is timed over again

What a master knew of its locks also outlived its term. Ruled out: clocks (also without drift), late calls (a trace of the ops showed the lock's time gone between two of them). Now: a lock without a time counts in full from first sight; mastered() adds and never replaces; a master that steps down forgets.

--- a/features/steps/open_days_steps.py
+++ b/features/steps/open_days_steps.py
@@ -165,6 +165,6 @@
     context.make, context.guards = day, GUARDS
 
 
-@behave.given('an open day of {names} under seed {seed:d}')
-def _(context, names, seed):
-    context.day = open_days.Day(seed, names.split(','), length=ms(20000)).run()
+@behave.given('an open day of {names} under seed {seed:d}, {shape}')
+def _(context, names, seed, shape):
+    context.day = open_days.Day(seed, names.split(','), shape, ms(20000)).run()
--- a/zinctrail/ctl/coord.py
+++ b/zinctrail/ctl/coord.py
@@ -78,10 +78,10 @@
     recovery.locks_open(txn)
     lease = whole(args, 'lease_ms', 500, 60000, 5000)
     row = txn.get('locks', name)
-    if row and row['holder'] != holder and core.lock_until.get(name, txn.now) > txn.now:
+    if row and row['holder'] != holder and until_of(core, txn, name, row) > txn.now:
         left = seam.to_ms(core.lock_until[name] - txn.now)
         raise faults.CallFault(409, 'held by another', holder=row['holder'], retry_ms=max(50, min(left, 1000)))
-    if not row or row['holder'] != holder or core.lock_until.get(name, txn.now) <= txn.now:
+    if not row or row['holder'] != holder or until_of(core, txn, name, row) <= txn.now:
         row = {'holder': holder, 'fence': next_rev(txn), 'lease_ms': lease, 'take': by or str(head(txn))}
     elif row.get('take') != by or not by:
         # Why a write for a renewal: a freeing meant for an earlier taking must be known as late by any master.
@@ -91,6 +91,14 @@
     return {'status': 200, 'fence': row['fence'], 'take': row['take'], 'lease_ms': lease}
 
 
+def until_of(core, txn, name, row):
+    """When its holder has surely given up a lock."""
+    if row is not None and name not in core.lock_until:
+        # Why in full, at first sight: a master's own first generations are computed before it has seen to all locks.
+        core.lock_until[name] = txn.now + core.lock_term(row)
+    return core.lock_until.get(name, txn.now)
+
+
 def hold_until(core, txn, name, lease):
     # Why never sooner: the reply to a call for less may be lost, and the holder counts on the longer one.
     core.lock_until[name] = max(core.lock_until.get(name, txn.now), txn.now + core.lock_term({'lease_ms': lease}))
@@ -206,7 +214,7 @@
     recovery.locks_open(txn)
     lease = whole(args, 'lease_ms', 1, 3600000)
     row = txn.get('locks', name)
-    held = row is not None and core.lock_until.get(name, txn.now) > txn.now
+    held = row is not None and until_of(core, txn, name, row) > txn.now
     if held and row['holder'] != holder:
         left = seam.to_ms(core.lock_until[name] - txn.now)
         raise faults.CallFault(409, 'held by another', holder=row['holder'], retry_ms=max(50, min(left, 1000)))
@@ -227,7 +235,7 @@
     recovery.locks_open(txn)
     row = txn.get('locks', name)
     if not row or row['holder'] != holder or not row.get('first', row['fence']) <= fence <= row['fence'] \
-            or core.lock_until.get(name, txn.now) <= txn.now:
+            or until_of(core, txn, name, row) <= txn.now:
         raise faults.CallFault(409, 'not held under this fence')
     # Why a write only for a longer lease: who holds it is the same, and a new master counts it in full anyway.
     if lease > row['lease_ms']:
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -130,12 +130,17 @@
         self.beats = {}
         self.probing = {}
         self.doubts = doubts.Doubts()
-        self.lock_until = {n: self.now + self.lock_term(row) for n, row in self.rep.get('locks').items()}
+        for name, row in self.rep.whole_of('locks').items():
+            # Why not anew: our next generations may have taken, held or freed it already.
+            if row is not None:
+                self.lock_until.setdefault(name, self.now + self.lock_term(row))
         self.epoch_at = self.now
         self.submit(lambda txn: self.place_duties(txn) or {'status': 200}, lambda res: None)
         super().mastered()
 
     def unmastered(self):
+        # Why forgotten: whoever leads next may give a lock on, and what we knew of it must not count once we lead again.
+        self.lock_until = {}
         waits, self.waits = self.waits, []
         for w in waits:
             w['cb'](voter.LOST)
@@ -176,7 +181,7 @@
         for name in over:
             def drop(txn, name=name):
                 # Why look again: a renewal may stand before us in the line.
-                if self.lock_until.get(name, txn.now) <= txn.now:
+                if name in self.lock_until and self.lock_until[name] <= txn.now:
                     self.lock_until.pop(name, None)
                     txn.drop('locks', name)
                 return {'status': 200}
