An empty line too much after a request is no beginning of the next

Cause, by reading: a stray line set the header's clock going, and a resting connection was told 408 three seconds later, an answer to nothing. Test: two rows of open.feature, both red without the change.

--- a/features/open.feature
+++ b/features/open.feature
@@ -46,6 +46,15 @@
     When the limits come with idle_ms 100
     Then the resting connection is closed in order
 
+  Scenario Outline: An empty line too much is no beginning of a request
+    Given a front with header_bytes 1000, body_bytes 2000, header_ms 300, idle_ms 9000
+    When a client's request is answered, with an empty line that comes <when> the answer
+    Then after 3 s its connection is still there, and serves
+    Examples:
+      | when   |
+      | before |
+      | after  |
+
   Scenario: A proxy hands on the operator's limits when they change
     Given a proxy for open traffic with 1 endpoints
     When the limits item sets idle_ms to 700
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -863,3 +863,26 @@
 @behave.then('all {n:d} were sent to a second endpoint, not all at once')
 def _(context, n):
     assert len(context.again) == n and context.again[-1] - context.again[0] >= ms(200), context.again
+
+
+@behave.when("a client's request is answered, with an empty line that comes {when} the answer")
+def _(context, when):
+    context.a = Client(context.portno)
+    context.a.send(GET + (b'\r\n' if when == 'before' else b''))
+    wait_for(lambda: context.held.fed)
+    if when == 'before':
+        wait_for(lambda: all(c._dataBuffer for c in context.front.channels))
+    answer(context)
+    context.a.read(b'whole')
+    if when == 'after':
+        context.a.send(b'\r\n')
+        wait_for(lambda: all(c._HTTPChannel__first_line == 2 for c in context.front.channels))
+
+
+@behave.then('after 3 s its connection is still there, and serves')
+def _(context):
+    turn(context, 3)
+    context.a.send(GET)
+    wait_for(lambda: len(context.held.fed) == 2)
+    answer(context)
+    assert context.a.read(b'whole').startswith(b'HTTP/1.1 200 ')
--- a/zinctrail/edge/front.py
+++ b/zinctrail/edge/front.py
@@ -125,6 +125,12 @@
             if self.header_at is None and not self.in_body:
                 self.header_at = self.quiet_at
         super().dataReceived(data)
+        self.rested()
+
+    def rested(self):
+        """Some end a request with an empty line too much: that is no header's beginning."""
+        if self.header_at is not None and self.resting():
+            self.header_at = None
 
     def lineReceived(self, line):
         # Why here too: what was refused for its first line may have more of them in the same bytes.
@@ -147,6 +153,7 @@
         self.quiet_at = self.site.now()
         self.header_at = self.quiet_at if self._dataBuffer else None
         super().requestDone(request)
+        self.rested()
 
     def lineLengthExceeded(self, line):
         self.refuse(431)
