--- a/zinctrail/follow.py
+++ b/zinctrail/follow.py
@@ -34,7 +34,7 @@
         if r.get('event') == 'claim':
             out.append(f'{clock(r)}  {who}  claim for {r.get("proxy", "?")}: {r.get("outcome", "?")}')
         elif r.get('event') == 'request':
-            tried = ', '.join(t for t in r.get('tried', '').split(',') if t)
+            tried = ', '.join(t for t in r.get('tried', '').split(',') if t and t != r.get('inc'))
             out.append(f'{clock(r)}  {who}  {r["outcome"]} {r["status"]}: {r.get("cause") or "reply of the endpoint"};'
                        f' service {r.get("service") or "-"}, endpoint {r.get("inc") or "none"}'
                        + (f', before it {tried}' if tried else '') +
