A node without a master says so after an election's time; a restarted voter is told what is committed

Cause (review): a control node cut off from the rest kept what it was asked for 3 s, though it was put to nobody; its callers waited out their second instead of turning to another node. And a voter that was started again within the checks' time was taken to know what it had been told before (the master kept the larger of what it said): in quiet times it was told nothing until the next generation, up to an epoch of 10 s.

Change: what was put to no master is refused, as not done, once none has been known for 0.6 s; what was put stays unknown. A voter's word on what it knows to be committed is taken as it is.

--- a/features/control.feature
+++ b/features/control.feature
@@ -24,6 +24,22 @@
       | 0    | 503  |
       | 1    | 504  |
 
+  Scenario Outline: A node without a master says so once an election's time has gone by
+    Given a control node that follows b
+    When its master is lost, and <ms> ms later a caller asks for a number and <more> ms go by
+    Then the caller is told <told>
+    Examples:
+      | ms   | more | told    |
+      | 100  | 300  | nothing |
+      | 100  | 600  | 503     |
+      | 1000 | 10   | 503     |
+
+  Scenario: What was put to a master that is lost is not called refused
+    Given a control node that follows b
+    When a caller asks for a number, b is lost, and 2000 ms go by
+    Then the caller is told nothing
+    And 1500 ms later the caller is told 504
+
   Scenario: What nobody waits for any more is not put to the next master
     Given a control node that follows b
     When a caller asks for a number and hangs up
@@ -112,6 +128,11 @@
       | c   | 3    | follower  |
       | b   | 2    | follower  |
 
+  Scenario: A voter that was started again learns what is committed, though nothing new is published
+    Given a control node that leads
+    When b is started again from its disk and 1000 ms go by
+    Then b knows what is committed
+
   Scenario: Members of a new master have leases before its second check
     Given a control node that has just won an election
     When 100 ms go by
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -428,3 +428,44 @@
         first, second = sorted(stand)[:2]
         gaps.append(second - first)
     assert min(gaps) >= ms(ms_), min(gaps)
+
+
+@behave.when('its master is lost, and {n:d} ms later a caller asks for a number and {more:d} ms go by')
+def _(context, n, more):
+    node = context.node
+    node.feed('lost', addr('b'))
+    assert node.m.mode == 'candidate'
+    node.run(n)
+    node.feed('http', 1, seam.Call('POST', '/v1/number/step', {}, b'{"name": "n"}'))
+    node.run(more)
+
+
+@behave.when('a caller asks for a number, b is lost, and {n:d} ms go by')
+def _(context, n):
+    ask(context.node, 1)
+    context.node.feed('lost', addr('b'))
+    context.node.run(n)
+
+
+@behave.then('{n:d} ms later the caller is told {told}')
+def _(context, n, told):
+    context.node.run(n)
+    got = context.node.told.get(1)
+    assert (str(got[0]) if got else 'nothing') == told, got
+
+
+@behave.when('b is started again from its disk and {n:d} ms go by')
+def _(context, n):
+    node = context.node
+    # Why first: that c is silent makes a generation, too.
+    node.run(4000)
+    node.rep.settle()
+    node.rep.committed = (0, 0)
+    context.generation = node.m.rep.accepted
+    node.run(n)
+
+
+@behave.then('b knows what is committed')
+def _(context):
+    assert context.node.m.rep.accepted == context.generation, 'something new was published'
+    assert context.node.rep.committed == context.generation, context.node.rep.committed
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -18,6 +18,8 @@
 
 # Statuses that promise that nothing was done and nothing will be.
 REFUSALS = (421, 429, 503)
+# How long what was asked waits for a master to be known at all: an election's time.
+LONE = seam.ms(600)
 LOST = {'status': 504, 'unknown': True, 'fault': 'the master changed before the outcome was known'}
 
 
@@ -73,6 +75,8 @@
         self.term = 0
         self.rep = replica.Replica()
         self.master = None
+        # Since when no master is known here.
+        self.alone_since = seam.ZERO
         self.mode = 'candidate'
         self.known = {}
         self.refused = set()
@@ -112,6 +116,7 @@
     # -- inputs -----------------------------------------------------------
 
     def on_start(self):
+        self.alone_since = self.now
         self.log(f'Starts as {self.node} at {self.place.addr}.', 'start', node=self.node, role=self.role, cell=self.place.cell,
                  http=self.place.http, release=zinctrail.__version__)
         self.alarm('find', seam.ZERO)
@@ -356,6 +361,7 @@
         self.log(f'Lost master {self.master["id"] if self.master else "?"}: {why}.', 'lost', term=self.term,
                  node=self.master['id'] if self.master else '', why=why)
         self.master = None
+        self.alone_since = self.now
         self.mode = 'candidate'
         self.alarms.pop('lead', None)
         self.alarm('find', seam.ZERO)
@@ -443,6 +449,11 @@
             a = self.asks.pop(key)
             # Why told apart: what was never put to any master has surely not been done.
             a.cb({'status': 504, 'unknown': a.puts > 0, 'fault': 'no outcome from the master in time'})
+        if not self.master and self.now - self.alone_since >= LONE:
+            # Why not kept: we may be cut off, and others are not; who comes back finds a master sooner there.
+            for key in [k for k, a in self.asks.items() if not a.puts]:
+                self.asks.pop(key).cb({'status': 503, 'unknown': False, 'fault': 'no master is known here',
+                                       'retry_ms': 300})
         for key, a in self.asks.items():
             if self.now - a.at > seam.ms(500):
                 self._put_ask(key)
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -597,6 +597,7 @@
             self.tell(p.addr, 'down', term=self.term)
         self.mode = 'candidate'
         self.master = None
+        self.alone_since = self.now
         for a in ('chk', 'pub', 'pump', 'succ', 'fence', 'grants'):
             self.alarms.pop(a, None)
         flights, self.flights = self.flights, collections.deque()
@@ -938,7 +939,8 @@
                 self.alarm('grants', self.bounds.gather)
             p.acked, p.acked_at = env['round'], self.now
         p.accepted = max(p.accepted or (0, 0), tup(env['accepted']))
-        p.committed = max(p.committed, tup(env['committed']))
+        # Why not the larger for a voter: one that was started again no longer knows what it was told.
+        p.committed = tup(env['committed']) if p.role == 'core' else max(p.committed, tup(env['committed']))
         self.answered(p)
         self.catch_up(p)
         r = self.rounds.get(env['round'])
