--- a/features/never_open.feature
+++ b/features/never_open.feature
@@ -15,7 +15,7 @@
       | mixed          | whole answers            | garble                   | 1,2   |
       | unasked        | the id as it came        | release                  | 1     |
       | route          | naming the incarnation   | node_cut+replace_with_reuse | 3,6,7 |
-      | drain          | drain marks              | scale_in                 | 1,2   |
+      | drain          | drain marks              | release+crowd            | 1,2   |
       | lost           | finishing before the end | roll_term_fronts         | 1,2   |
       | held           | patience                 | cold_crowd               | 1,2   |
       | budget         | the repeat bound         | answer_lost_often+crowd  | 1,2   |
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -8,6 +8,8 @@
 
 import zinctrail.sim.checks as checks
 import zinctrail.sim.days as days
+import zinctrail.sim.open_checks as open_checks
+import zinctrail.sim.open_days as open_days
 
 ROOT = os.path.join(os.path.dirname(__file__), '..', '..')
 # Why these: they are tools beside the product, or run only in them.
@@ -16,12 +18,12 @@
 
 def named():
     with open(os.path.join(ROOT, 'docs', 'proof.md')) as f:
-        return set(re.findall(r'`(checker|fault|guard|feature|code):([^`*]+)`', f.read()))
+        return set(re.findall(r'`(checker|fault|guard|open-checker|open-fault|open-guard|feature|code):([^`*]+)`', f.read()))
 
 
-def guards():
+def guards(steps='days_steps.py'):
     # Why by its text: behave loads step files in a way of its own.
-    with open(os.path.join(os.path.dirname(__file__), 'days_steps.py')) as f:
+    with open(os.path.join(os.path.dirname(__file__), steps)) as f:
         tree = ast.parse(f.read())
     dicts = [n.value for n in tree.body if isinstance(n, ast.Assign) and n.targets[0].id == 'GUARDS']
     return {k.value for k in dicts[0].keys}
@@ -44,7 +46,8 @@
 def _(context):
     features = {os.path.basename(f).removesuffix('.feature') for f in glob.glob(os.path.join(ROOT, 'features', '*.feature'))}
     there = {'checker': checks.ALL.__contains__, 'fault': days.FAULTS.__contains__, 'guard': guards().__contains__,
-             'feature': features.__contains__, 'code': is_code}
+             'open-checker': open_checks.ALL.__contains__, 'open-fault': open_days.FAULTS.__contains__,
+             'open-guard': guards('open_days_steps.py').__contains__, 'feature': features.__contains__, 'code': is_code}
     names = named()
     assert len(names) > 100, len(names)
     wrong = [(kind, name) for kind, name in sorted(names) if not there[kind](name)]
@@ -57,9 +60,12 @@
     missing = [('checker', c) for c in checks.ALL if ('checker', c) not in names]
     missing += [('fault', f) for f in days.FAULTS if ('fault', f) not in names]
     missing += [('guard', g) for g in guards() if ('guard', g) not in names]
+    missing += [('open-checker', c) for c in open_checks.ALL if ('open-checker', c) not in names]
+    missing += [('open-fault', f) for f in open_days.FAULTS if ('open-fault', f) not in names]
+    missing += [('open-guard', g) for g in guards('open_days_steps.py') if ('open-guard', g) not in names]
     assert not missing, missing
     rows = ''.join(open(f).read() for f in glob.glob(os.path.join(ROOT, 'features', 'never_*.feature')))
-    assert not [g for g in guards() if f'| {g} ' not in rows]
+    assert not [g for g in guards() | guards('open_days_steps.py') if f'| {g} ' not in rows]
 
 
 @behave.then('only the test tools of the package import subprocess, and nothing imports mmap or'
