--- a/zinctrail/sim/open_cast.py
+++ b/zinctrail/sim/open_cast.py
@@ -145,7 +145,7 @@
         self.cast, self.world, self.name, self.addr = cast, cast.world, name, addr
         self.service, self.cell, self.slots, self.queue_most = service, cell, slots, slots * 4
         self.up, self.life, self.inc, self.seq = False, 0, '', 0
-        self.state, self.cold_until = 'available', seam.ZERO
+        self.state, self.cold_until = 'ready', seam.ZERO
         self.work, self.resets = SERVICES[service][1], SERVICES[service][4]
         # Faults: each is a chance an answer.
         self.lose = self.cut_short = self.junk = self.extra = 0.0
@@ -499,11 +499,11 @@
             name = f'g{self.rng.randrange(2)}.{self.rng.randrange(3)}'
             self.count += 1
             value = f'{self.name}.{self.count}'
-            row = {'name': name, 'value': value, 'concerns': seen.get(name, 0), 't0': self.world.now, 't': None,
+            row = {'name': name, 'value': value, 'over': seen.get(name, 0), 't0': self.world.now, 't': None,
                    'rev': None, 'status': 0, 'all': [], 'told': None}
             self.cast.notes.puts.append(row)
             status, doc, sent, all_ = yield self.call('/v1/cell/put', {'name': name, 'value': value,
-                                                                       'rev': row['concerns']})
+                                                                       'rev': row['over']})
             row.update(t=self.world.now, status=status, all=list(all_), sent=sent)
             if status == 200:
                 row['rev'] = seen[name] = doc['rev']
--- a/zinctrail/sim/open_checks.py
+++ b/zinctrail/sim/open_checks.py
@@ -525,9 +525,9 @@
         by[p['name']].append(p)
     for name, rows in by.items():
         for p in rows:
-            between = [q['rev'] for q in rows if p['concerns'] < q['rev'] < p['rev']]
+            between = [q['rev'] for q in rows if p['over'] < q['rev'] < p['rev']]
             if between:
-                out.append(f'{name}: put concerning {p["concerns"]} got {p["rev"]}, over {between}')
+                out.append(f'{name}: put over {p["over"]} got {p["rev"]}, past {between}')
     for w in cast.notes.watches:
         if w['status'] != 200:
             continue
