The capacity instruments are named among the tools that may start processes

Cause: proof.feature lets only tools beside the product start processes; sim.scale and sim.loopback are such tools, as bench and search are, and no product imports them.

--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -13,7 +13,7 @@
 
 ROOT = os.path.join(os.path.dirname(__file__), '..', '..')
 # Why these: they are tools beside the product, or run only in them.
-TOOLS = ('fleet.py', 'bench.py', 'ztreplay.py', 'search.py', 'boots.py')
+TOOLS = ('fleet.py', 'bench.py', 'ztreplay.py', 'search.py', 'boots.py', 'scale.py', 'loopback.py')
 
 
 def named():
