Fleet tests wait until every core votes before they kill one

Cause: fleet.feature failed 2 of 6 runs under load 40 of 16 ("waited in vain for a new master"). In the run whose logs were kept a core took 12 s to start, the other two had formed without it, and the master was killed 50 ms after it joined: one of two voters is no quorum, as designed. The other run's log was not kept.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -63,6 +63,8 @@
     on_loop(f.start_endpoints, random.Random(1))
     want = sum(f.shape['services'].values())
     f.until(lambda: len(state(context)['endpoints']) == want, 'all endpoints')
+    # Why: where a core takes seconds to start, two form without it, and the loss of one of two leaves no quorum.
+    f.until(lambda: all(len(vc) == f.shape['cores'] for vc in state(context)['voters'].values()), 'all cores to vote')
     on_loop(lambda: f.start_callers(random.Random(2)) and None)
 
 
