Part agree/voter.py by duty, a module each; no behaviour changes

Cause: one class of 1,295 lines held bootstrap, elections, publication, leases, membership and voting sets.

--- a/features/steps/agree_steps.py
+++ b/features/steps/agree_steps.py
@@ -12,7 +12,7 @@
 import zinctrail.agree.journal as journal
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
-import zinctrail.agree.voter as voter
+import zinctrail.agree.transactions as transactions
 import zinctrail.bounds as bounds
 import zinctrail.ctl.coord as coord
 import zinctrail.ctl.core as core
@@ -499,7 +499,7 @@
 def _(context):
     m = context.m
     m.lock_until = {'l': seam.ms(60000)}
-    txn = voter.Txn(m.rep, (2, 99), seam.ms(10))
+    txn = transactions.Txn(m.rep, (2, 99), seam.ms(10))
     got = txn.run(lambda t: coord.run(m, t, 'lock.take', {'name': 'l', 'holder': 'x', 'id': 'a'}))
     assert got['status'] == 200 and got['fence'] == 2 and got['take'] == 'a', got
     assert txn.run(lambda t: coord.run(m, t, 'lock.take', {'name': 'l', 'holder': 'y', 'id': 'b'}))['status'] == 409
--- a/features/steps/days_steps.py
+++ b/features/steps/days_steps.py
@@ -7,6 +7,7 @@
 import behave
 
 import zinctrail.agree.partner as partner
+import zinctrail.agree.transactions as transactions
 import zinctrail.agree.voter as voter
 import zinctrail.bounds as bounds
 import zinctrail.ctl.config as config
@@ -95,7 +96,7 @@
     return whole(txn, doc, base)
 
 
-def run_without_rollback(self, fn, whole=voter.Txn.run):
+def run_without_rollback(self, fn, whole=transactions.Txn.run):
     try:
         return fn(self)
     except Exception as e:
@@ -152,7 +153,7 @@
         off(proxy.Prox, 'applied', lambda self, rows: None) + off(routes.Routes, 'stale', lambda self: None)
     ),
     'syncing': lambda: off(world.Disk, 'syncs', False),
-    'all or nothing': lambda: off(config, 'apply', half_applied) + off(voter.Txn, 'run', run_without_rollback),
+    'all or nothing': lambda: off(config, 'apply', half_applied) + off(transactions.Txn, 'run', run_without_rollback),
     'bases': lambda: off(config, 'apply', any_base),
     'evacuation': lambda: off(routes.Routes, 'evacuated', lambda self, cell: False),
     'warmth': lambda: off(routes.Routes, 'cap', lambda self, inc, pool: 8),
--- /dev/null
+++ b/zinctrail/agree/bootstrap.py
@@ -0,0 +1,191 @@
+"""Forming a cluster that nobody listed the first nodes of."""
+
+import uuid
+
+import zinctrail.agree.frames as frames
+import zinctrail.seam as seam
+
+# Why: a process's list of seeds is short; what it may make us probe is bounded.
+SEEDS_MOST = 16
+
+
+class Bootstrap:
+    """Forming a cluster that nobody listed the first nodes of."""
+
+    def find_targets(self):
+        if self.mode == 'leader':
+            # Why go on looking: a node whose seeds are all stale is found at its old address.
+            here = {p.addr for p in self.peers.values()}
+            return sorted(a for a in self.known if a not in here)
+        out = super().find_targets()
+        if self.mode == 'candidate' and self.empty():
+            # Why all that anybody names: whether they answer decides whether we may form.
+            out = sorted({*out, *self.all_named()} - {self.place.addr})
+        return out
+
+    def m_probe(self, env):
+        self.note_named(env)
+        super().m_probe(env)
+
+    def note_named(self, env):
+        if self.empty():
+            self.named[env['a']] = (self.now, [s for s in env.get('seeds', ()) if frames.is_addr(s)][:SEEDS_MOST])
+
+    def all_named(self):
+        """Every naming of a seed by a process heard lately, of any role, ourselves included."""
+        limit = self.now - self.bounds.probe * 10
+        return [s for at, seeds in self.named.values() if at >= limit for s in seeds] + list(self.place.seeds)
+
+    def fresh_known(self):
+        return {k['id']: a for a, k in self.known.items() if k['role'] == 'core' and k['id'] and self.answers(k)}
+
+    def boot_view(self):
+        """Every control node that we or anyone who answers us has heard of lately."""
+        limit = self.now - self.bounds.probe * 3
+        view = {self.node} | set(self.fresh_known())
+        for at, doc in self.views.values():
+            if at >= limit:
+                view |= set(doc['partners'])
+        return sorted(view)
+
+    def seeds_heard(self):
+        """(how many of all namings of seeds answer, how many there are, the silent ones)"""
+        named = self.all_named()
+        silent = [s for s in named if s != self.place.addr and not (s in self.known and self.answers(self.known[s]))]
+        return len(named) - len(silent), len(named), sorted(set(silent))
+
+    def seeds_ok(self):
+        up, named, _ = self.seeds_heard()
+        # Why two thirds of all namings: two groups that can't see each other can't both have as many of what
+        # their own members name, unless their members were given seeds apart (docs/notes/membership.md).
+        return named > 0 and 3 * up >= 2 * named
+
+    def empty(self):
+        return self.rep.accepted == (0, 0) and not self.cluster
+
+    def find_extra(self):
+        if not self.empty():
+            return {}
+        return {'view': self.boot_view(), 'seeds_ok': self.seeds_ok()}
+
+    def m_probe_re(self, env):
+        self.note_named(env)
+        super().m_probe_re(env)
+        self.views[env['f']] = (
+            self.now,
+            {
+                'partners': [n for _, n, fresh in env['partners'] if n and fresh],
+                'view': env.get('view'),
+                'seeds_ok': env.get('seeds_ok', False),
+                'cluster': env.get('c', ''),
+            },
+        )
+        # Why here too: the sooner a quorum is in sight, the shorter the time without a master.
+        if self.mode == 'candidate' and self.rep.accepted > (0, 0) and not self.stopping:
+            self.plan_election()
+
+    def can_join(self):
+        return not self.stopping and not self.unfit
+
+    def retired(self, env):
+        """Durable and for good: an operator clears the folder (docs/operate/recover.md)."""
+        if self.cluster in env['of'] and not self.given_up:
+            if self.mode == 'leader':
+                self.step_down('given up')
+            self.log(f'Cluster {self.cluster} was given up for {env["c"]}: does nothing more; clear the data folder.')
+            self.given_up = env['c']
+            self.master, self.mode, self.alarms = None, 'candidate', {}
+            self.write('retired', {'for': env['c']})
+
+    def begin(self, cluster, term, gen, full, known):
+        """Begin as the only voter of a cluster of this state; who is at `known` is looked for."""
+        self.named = {}
+        self.cluster = cluster
+        self.raise_term(term)
+        self.rep.accept((0, gen), full=full)
+        self.keep((0, gen), (0, 0), None, full)
+        for addr in known:
+            self.remember(addr)
+        self.alarm('find', seam.ZERO)
+
+    def alarm_find(self):
+        super().alarm_find()
+        if self.mode == 'leader' and self.rep.get('meta', 'retired'):
+            # Why told unasked: who holds on to the old cluster would refuse our probes without a word.
+            for addr in self.find_targets():
+                self.tell(addr, 'retired', of=self.rep.get('meta', 'retired'))
+        limit = self.now - self.bounds.remember
+        for node in [n for n, (at, _) in self.views.items() if at < limit]:
+            del self.views[node]
+        if self.mode != 'candidate' or self.stopping or self.unfit:
+            return
+        if self.empty():
+            self.try_boot()
+        elif self.rep.accepted == (0, 1):
+            self.push_boot()
+        if self.rep.accepted > (0, 0):
+            self.plan_election()
+
+    def try_boot(self):
+        view = self.boot_view()
+        limit = self.now - self.bounds.probe * 3
+        docs = {n: d for n, (at, d) in self.views.items() if at >= limit}
+        # Why all three: seeds stand in for the list of initial nodes that nobody gives us.
+        good = (
+            self.seeds_ok()
+            and not any(d['cluster'] for d in docs.values())
+            and all(n in docs and docs[n]['view'] == view and docs[n]['seeds_ok'] for n in view if n != self.node)
+        )
+        self.boot_rounds = self.boot_rounds + 1 if good and view == self.boot_seen else 0
+        self.boot_seen = view
+        self.say_waiting(good)
+        if self.boot_rounds >= 4 and view[0] == self.node:
+            cluster = uuid.UUID(int=self.rng.getrandbits(128), version=4).hex
+            self.log(f'Forms cluster {cluster} of {len(view)}.', 'form', cluster=cluster, nodes=view)
+            self.take_boot(cluster, view)
+            self.push_boot()
+
+    def say_waiting(self, good):
+        """Why nothing forms yet, now and then: whoever starts the machines has to know."""
+        if good or self.finds % 25:
+            return
+        up, named, silent = self.seeds_heard()
+        if not self.seeds_ok():
+            self.log(
+                f'Waits to form: {up} of {named} seeds named by all we hear answer, two thirds must;'
+                f' silent: {", ".join(silent[:10])}.'
+            )
+        else:
+            self.log(f'Waits to form: not all of the {len(self.boot_view())} control nodes heard of agree on the set.')
+
+    def take_boot(self, cluster, view):
+        self.cluster = cluster
+        self.named = {}
+        vc = {'committed': view, 'accepted': view}
+        full = {'meta': {'cluster': cluster, 'vc': vc, 'boot': view, 'routes': [0, 1]}}
+        self.rep.accept((0, 1), full=full)
+        self.write('term', {'term': self.term, 'vote': self.vote})
+        self.keep((0, 1), (0, 0), None, full)
+        self.boots = {self.node}
+
+    def push_boot(self):
+        """Ask the set to take the first generation, until a majority has."""
+        view = self.rep.latest('meta', 'boot')
+        known = self.fresh_known()
+        self.pushes += 1
+        for node in view:
+            if node in known and node not in (self.boots or ()):
+                # Why resumed in time: a set member lost for good must not stop the rest for ever.
+                self.tell(known[node], 'boot', view=view, resumed=self.pushes > 10)
+
+    def m_boot(self, env):
+        view = env['view']
+        if self.empty() and self.node in view and not self.stopping:
+            # Why our own eyes: the set must be what we see, not only what somebody says.
+            if self.boot_view() == view or self.boot_seen == view or env['resumed']:
+                self.take_boot(env['c'], view)
+        self.tell(env['a'], 'boot_re', ok=self.cluster == env['c'] and self.rep.accepted >= (0, 1))
+
+    def m_boot_re(self, env):
+        if env['ok'] and self.rep.accepted == (0, 1):
+            self.boots = (self.boots or {self.node}) | {env['f']}
--- /dev/null
+++ b/zinctrail/agree/elections.py
@@ -0,0 +1,209 @@
+"""Pre-votes, votes, becoming master and stepping down."""
+
+import collections
+import zlib
+
+import zinctrail.agree.partner as partner
+import zinctrail.agree.peers as peers
+import zinctrail.agree.replica as replica
+import zinctrail.agree.outcomes as outcomes
+import zinctrail.agree.transactions as transactions
+import zinctrail.seam as seam
+
+
+class Elections:
+    """Pre-votes, votes, becoming master and stepping down."""
+
+    def vc(self):
+        return self.rep.latest('meta', 'vc')
+
+    def plan_election(self):
+        if 'elect' in self.alarms:
+            return
+        if replica.quorum_both(set(self.fresh_known()) | {self.node}, self.vc()):
+            # Why random and growing with tries: two candidates must not keep splitting the votes.
+            most = min(self.bounds.elect * (1 + self.tries), self.bounds.elect_most)
+            # Why in turn at first: all lose a master at the same moment, and who is next should be alone.
+            turn = self.bounds.elect * (0.5 * self.turn()) if self.tries == 0 else seam.ZERO
+            self.alarm(
+                'elect', self.bounds.elect / 6 + turn + most * self.rng.random() * (0.2 if self.tries == 0 else 1)
+            )
+
+    def turn(self):
+        """Our place among the voters that answer, in an order that differs from term to term."""
+        vc = self.vc()
+        here = [n for n in self.fresh_known() if n in vc['accepted'] or n in vc['committed']]
+        mine = self.turn_of(self.node)
+        return sum(1 for n in here if self.turn_of(n) < mine) if self.node in vc['accepted'] else len(here)
+
+    def turn_of(self, node):
+        return zlib.crc32(f'{self.term}/{node}'.encode())
+
+    def alarm_elect(self):
+        if self.mode != 'candidate' or self.unfit or self.stopping or self.rep.accepted == (0, 0):
+            return
+        if self.rep.accepted == (0, 1) and not replica.quorum(self.boots or (), self.rep.latest('meta', 'boot')):
+            return
+        if self.just_voted():
+            self.plan_election()
+            return
+        self.tries += 1
+        self.prevotes = {self.node: self.term}
+        self.counts['prevotes'] += 1
+        for node, addr in sorted(self.fresh_known().items()):
+            self.tell(addr, 'prevote', term=self.term, accepted=self.rep.accepted)
+        self.count_prevotes()
+        self.plan_election()
+
+    def just_voted(self):
+        return self.voted_at is not None and self.now - self.voted_at < self.bounds.elect
+
+    def m_prevote(self, env):
+        # Why: while somebody leads, a returning node must not unseat them.
+        # Why also just after a vote: whom we voted for may lead already and not have reached us yet.
+        active = (
+            self.mode == 'leader' or (self.mode == 'follower' and self.master['id'] != env['f']) or self.just_voted()
+        )
+        if active or self.rep.accepted == (0, 0):
+            return
+        self.tell(env['a'], 'prevote_re', term=self.term, accepted=self.rep.accepted)
+
+    def m_prevote_re(self, env):
+        if self.prevotes is None or self.mode != 'candidate':
+            return
+        if partner.tup(env['accepted']) > self.rep.accepted:
+            return
+        self.prevotes[env['f']] = env['term']
+        self.count_prevotes()
+
+    def count_prevotes(self):
+        if self.prevotes and replica.quorum_both(self.prevotes, self.vc()):
+            seen = max(self.prevotes.values())
+            self.prevotes = None
+            self.start_election(seen)
+
+    def start_election(self, seen):
+        term = max(self.term, seen) + 1
+        self.counts['elections'] += 1
+        self.log(
+            f'Stands for term {term}.', 'stand', term=term, why=self.lost_why or 'no master known', tries=self.tries
+        )
+        self.raise_term(term, self.node)
+        self.votes = {self.node: None}
+        for node, addr in sorted(self.fresh_known().items()):
+            self.tell(addr, 'sjoin', term=term)
+        self.count_votes()
+
+    def m_sjoin(self, env):
+        if env['term'] <= self.term or self.rep.accepted == (0, 0):
+            return
+        if self.mode == 'leader':
+            self.step_down('newer term')
+        elif self.mode == 'follower':
+            self.lose_master('newer term')
+        # Why durable first: forgetting this vote would let us vote twice.
+        self.raise_term(env['term'], env['f'])
+        self.prevotes = None
+        self.voted_at = self.now
+        self.alarms.pop('elect', None)
+        self.log(f'Votes for {env["f"]} in term {self.term}.', 'vote', term=self.term, node=env['f'])
+        self.tell(env['a'], 'vote', term=self.term, accepted=self.rep.accepted, member=self.member())
+
+    def m_vote(self, env):
+        if self.votes is None or env['term'] != self.term or self.mode != 'candidate':
+            if self.mode == 'leader' and env['term'] == self.term:
+                self.m_join(env)
+            return
+        # Why: whoever holds something newer may hold something committed.
+        if partner.tup(env['accepted']) > self.rep.accepted:
+            return
+        self.votes[env['f']] = env['member']
+        self.joined_at[env['f']] = partner.tup(env['accepted'])
+        self.count_votes()
+
+    def count_votes(self):
+        if self.votes is not None and replica.quorum_both(self.votes, self.vc()):
+            joins, self.votes = self.votes, None
+            self.become_master(joins)
+
+    def become_master(self, joins):
+        self.log(f'Leads term {self.term}.', 'lead', term=self.term, votes=sorted(joins))
+        self.mode = 'leader'
+        self.master = {'id': self.node, 'addr': self.place.addr, 'http': self.place.http}
+        self.tries = 0
+        for a in ('lead', 'elect'):
+            self.alarms.pop(a, None)
+        self.peers = {}
+        self.tasks = []
+        self.flights.clear()
+        self.pumped_at = None
+        self.settling = False
+        self.fences = []
+        self.changes.clear()
+        self.commits.clear()
+        self.offers = {}
+        self.faulty = {}
+        self.vc_gone = {}
+        self.rounds = {}
+        self.quorum_at = self.now
+        self.quorum_round = self.round
+        for node, row in self.rep.whole().get('members', {}).items():
+            if node != self.node:
+                self.peers[node] = peers.Peer(node, row, self.now)
+        joins[self.node] = self.member()
+
+        def first(txn):
+            for node, row in joins.items():
+                transactions.add_member(txn, node, row)
+            # Why a row of every term: the first generation must differ from what it builds on.
+            txn.put('meta', 'term', self.term)
+            return {'status': 200}
+
+        self.submit(first, lambda res: res['status'] == 200 and self.mastered())
+        self.alarm('chk', seam.ZERO)
+
+    def mastered(self):
+        """The first generation of our term is in force: what waited for a master is served."""
+        # Why at once: many have no lease yet, and what they answer from here on makes one.
+        self.alarm('chk', seam.ZERO)
+        asks, self.asks = self.asks, {}
+        for a in asks.values():
+            self.serve(a.op, a.args, lambda res, a=a: a.told(res, 0))
+
+    def unmastered(self):
+        """For the role."""
+
+    def step_down(self, why):
+        self.lost_why = why
+        self.log(f'Steps down from term {self.term}: {why}.', 'down', term=self.term, why=why)
+        for p in self.peers.values():
+            # Why told: else each finds out only by our silence.
+            self.tell(p.addr, 'down', term=self.term)
+        self.mode = 'candidate'
+        self.master = None
+        self.alone_since = self.now
+        for a in ('chk', 'pub', 'pump', 'succ', 'fence', 'grants'):
+            self.alarms.pop(a, None)
+        flights, self.flights = self.flights, collections.deque()
+        tasks, self.tasks = self.tasks, []
+        fences, self.fences = self.fences, []
+        for f in flights:
+            for cb, _, lost in f['results']:
+                cb(lost)
+        for _, cb in tasks:
+            cb(outcomes.NO_MASTER)
+        for *_, cb in fences:
+            cb(False)
+        self.peers = {}
+        self.unmastered()
+        self.alarm('find', seam.ZERO)
+        if self.stopping:
+            self.alarm('exit', seam.ms(300))
+
+    def followed(self):
+        super().followed()
+        self.tries = 0
+        self.votes = self.prevotes = None
+        self.alarms.pop('elect', None)
+        if self.stopping:
+            self.tell(self.master['addr'], 'leave')
--- /dev/null
+++ b/zinctrail/agree/outcomes.py
@@ -0,0 +1,8 @@
+"""Results that the agreement itself gives to what it was asked."""
+
+import zinctrail.agree.partner as partner
+
+NO_MASTER = {'status': 421, 'fault': 'not the master'}
+LOST = partner.LOST
+# Why apart: what found nothing to change may have been done by a copy of it before.
+UNSURE = {'status': 421, 'unknown': True, 'fault': 'not the master any more'}
--- /dev/null
+++ b/zinctrail/agree/replication.py
@@ -0,0 +1,260 @@
+"""The master's single line of state versions: computed, published, committed in order."""
+
+import zinctrail.agree.partner as partner
+import zinctrail.agree.replica as replica
+import zinctrail.agree.outcomes as outcomes
+import zinctrail.agree.transactions as transactions
+
+# How many state versions may be on their way to a quorum at once.
+FLIGHTS_MOST = 16
+
+
+class Replication:
+    """The master's single line of state versions: computed, published, committed in order."""
+
+    def submit(self, fn, cb):
+        """Have fn(txn) run in the line of generations; cb(result) once it is in force."""
+        if self.mode != 'leader':
+            cb(outcomes.NO_MASTER)
+        elif len(self.tasks) >= self.bounds.queue_most * 4:
+            cb({'status': 503, 'fault': 'busy', 'retry_ms': 200})
+        else:
+            self.tasks.append((fn, cb))
+            self.pump()
+
+    def pump(self):
+        """Compute the next generation from all that waits, as soon as one may follow the last."""
+        if self.mode != 'leader' or not self.tasks or self.settling or len(self.flights) >= FLIGHTS_MOST:
+            return
+        # Why alone: what a master keeps beside the state, as of locks and beats, begins with its first generation.
+        if self.flights and self.rep.committed[0] != self.term:
+            return
+        # Why nothing follows a change of the voting set: each set's quorums must know of the one before.
+        if any(f['vc_row'] for f in self.flights):
+            return
+        # Why apart: what comes at about the same time shares a publication.
+        if self.pumped_at is not None and self.now < self.pumped_at + self.bounds.gather:
+            self.alarms.setdefault('pump', self.pumped_at + self.bounds.gather)
+            return
+        self.alarms.pop('pump', None)
+        self.pumped_at = self.now
+        self.publish()
+
+    def alarm_pump(self):
+        self.pump()
+
+    def publish(self):
+        tasks, self.tasks = self.tasks, []
+        at = (self.term, self.rep.accepted[1] + 1)
+        txn = transactions.Txn(self.rep, at, self.now)
+        results = [(cb, txn.run(fn), outcomes.LOST) for fn, cb in tasks]
+        rows = txn.rows()
+        if not rows:
+            self.unchanged([(cb, res, outcomes.UNSURE) for cb, res, _ in results])
+            return
+        routes = replica.routes_of(rows)
+        if routes:
+            rows.append(['meta', 'routes', list(at)])
+        base, base_routes = self.rep.accepted, partner.tup(self.rep.latest('meta', 'routes'))
+        self.rep.accept(at, rows=rows)
+        self.flights.append(
+            {
+                'at': at,
+                'rows': rows,
+                'routes': bool(routes),
+                'results': results,
+                'vc': self.vc(),
+                'answered': {self.node},
+                'since': self.now,
+                'vc_row': any(r[:2] == ['meta', 'vc'] for r in rows),
+            }
+        )
+        self.changes.append((base, base_routes, at, rows, bool(routes)))
+        self.counts['generations'] += 1
+        # Why before the commit: a newcomer's answer may be the one that makes the quorum.
+        for table, node, row in rows:
+            if table == 'members' and row:
+                self.add_peer(node, row)
+        for p in self.peers.values():
+            if p.role == 'core' or (routes and not self.busy(p)):
+                self.offer(p)
+        # Why after the sends: theirs and ours may be written at the same time; ours counts when done.
+        self.keep(at, base, rows, None)
+        if len(self.flights) == 1:
+            self.alarm('pub', self.bounds.publish)
+        self.check_commit()
+
+    def busy(self, p):
+        """Whether a member that is no voter has not yet answered for the last it was sent."""
+        # Why waited for, a while: what changes meanwhile goes to it in one piece, and none holds up the others.
+        return p.sent is not None and p.sent != p.accepted and self.now - p.offered < self.bounds.ack
+
+    def unchanged(self, results):
+        """Outcomes that change nothing are reads: told once we were master after they came, and all they saw is
+        committed."""
+        seen = self.rep.accepted
+
+        def said(ok):
+            for f in self.flights if ok else ():
+                if f['at'] == seen:
+                    f['results'].extend(results)
+                    return
+            for cb, res, lost in results:
+                cb(res if ok else lost)
+
+        self.fence(said)
+
+    def read(self, fn, cb):
+        """cb(fn(view)) of what is in force once we are known to be master after now."""
+
+        def look(ok):
+            if ok and self.mode == 'leader':
+                cb(transactions.View(self.rep, self.rep.committed, self.now).run(fn))
+            else:
+                cb(outcomes.NO_MASTER)
+
+        if self.mode == 'leader' and self.rep.committed[0] != self.term:
+            # Why wait: until our first generation is in force, what was acknowledged before us may not be.
+            self.submit(lambda txn: {'status': 200}, lambda res: self.read(fn, cb) if res['status'] == 200 else cb(res))
+        elif self.mode == 'leader':
+            self.fence(look)
+        else:
+            cb(outcomes.NO_MASTER)
+
+    def latest_for(self, p):
+        if p.role == 'core':
+            return self.rep.accepted
+        return partner.tup(self.rep.latest('meta', 'routes'))
+
+    def since(self, base, core):
+        """(rows, generations between) from `base` to the latest, or None if that is too far back."""
+        parts, via = [], []
+        for b, b_routes, at, rows, is_routes in reversed(self.changes):
+            if core or is_routes:
+                parts.append(rows if core else replica.routes_of(rows))
+                via.append(at)
+                if base == (b if core else b_routes):
+                    return [r for part in reversed(parts) for r in part], via[1:]
+        return None
+
+    def offer(self, p):
+        """Send a member what it lacks: the changes since what it has, or everything."""
+        at = self.latest_for(p)
+        core = p.role == 'core'
+        base = p.sent or p.accepted
+        # Why with it: a voter learns what is committed without a frame of its own.
+        com = self.rep.committed if core and self.rep.committed[0] == self.term else None
+        p.offered, p.sent, p.told = self.now, at, com or p.told
+        # Why shared: most members lack the same, and it is written once for all of them.
+        key = (self.rep.accepted, at, core, base, com)
+        if key not in self.offers:
+            self.offers = {k: msg for k, msg in self.offers.items() if k[0] == self.rep.accepted}
+            self.offers[key] = self.publication(at, core, base, com)
+        msg = self.offers[key]
+        if 'full' in msg:
+            self.counts['full'] += 1
+        self.send(p.addr, msg, p.level >= 2)
+
+    def publication(self, at, core, base, com):
+        found = self.since(base, core) if base else None
+        more = {'com': com} if com else {}
+        if not found:
+            return self.frame(
+                'pub', term=self.term, at=at, full=self.rep.whole(routes=not core), http=self.place.http, **more
+            )
+        if found[1]:
+            # Why what lies between is told: it may have taken that meanwhile, and rows are whole values.
+            more['via'] = found[1]
+        return self.frame('pub', term=self.term, at=at, base=base, rows=found[0], http=self.place.http, **more)
+
+    def m_pub_re(self, env):
+        if env['term'] > self.term:
+            self.deposed(env['term'])
+            return
+        p = self.peers.get(env['f'])
+        if self.mode != 'leader' or p is None or env['term'] < self.term:
+            return
+        p.accepted = (
+            max(p.accepted or (0, 0), partner.tup(env['accepted'])) if env['ok'] else partner.tup(env['accepted'])
+        )
+        if not env['ok'] and partner.tup(env['at']) == p.sent:
+            # Why only for the last: each of those on their way before it was refused, too.
+            p.sent, p.told = None, (0, 0)
+        self.answered(p)
+        if self.mode != 'leader' or p.node not in self.peers:
+            return
+        # Why voters only where it is unknown what they get: all is on its way to them.
+        if p.accepted != self.latest_for(p) and (p.sent is None or (p.role != 'core' and p.sent == p.accepted)):
+            self.offer(p)
+        self.tell_commit(p)
+
+    def answered(self, p):
+        """It has all up to what it says it accepted: one master a term makes one line of generations."""
+        if p.accepted[0] == self.term:
+            news = False
+            for f in self.flights:
+                if f['at'] > p.accepted:
+                    break
+                if p.node not in f['answered']:
+                    f['answered'].add(p.node)
+                    news = True
+            if news:
+                self.check_commit()
+
+    def tell_commit(self, p):
+        """Tell a member what is committed of what it has."""
+        if p.accepted is None:
+            return
+        if p.accepted[0] == self.term:
+            at = min(p.accepted, self.rep.committed)
+        else:
+            # Why only that: of an older term it may hold what never was committed.
+            at = p.accepted if p.accepted == self.latest_for(p) else (0, 0)
+        if at > p.told and at <= self.rep.committed and (p.role == 'core' or at == p.accepted):
+            p.told = at
+            self.tell(p.addr, 'com', term=self.term, at=at, http=self.place.http)
+
+    def check_commit(self):
+        done = []
+        while self.flights and replica.quorum_both(self.flights[0]['answered'], self.flights[0]['vc']):
+            done.append(self.flights.popleft())
+        if not done:
+            return
+        if self.flights:
+            self.alarms['pub'] = self.flights[0]['since'] + self.bounds.publish
+        else:
+            self.alarms.pop('pub', None)
+        for f in done:
+            self.commits.append((f['at'], self.now, f['routes']))
+        self.took(self.rep.commit(done[-1]['at']))
+        for f in done:
+            for cb, res, _ in f['results']:
+                cb(res)
+        if self.mode == 'leader':
+            self.pass_fences(lambda need, after: after < done[-1]['at'])
+        if self.mode != 'leader':
+            return
+        if any(r[0] == 'members' for f in done for r in f['rows']):
+            self.sync_peers()
+        if self.settling or any(f['routes'] for f in done):
+            self.reconfigure()
+        # Why first: what is published now tells of the commit, too.
+        self.pump()
+        for p in list(self.peers.values()):
+            self.tell_commit(p)
+
+    def m_com_re(self, env):
+        p = self.peers.get(env['f'])
+        if self.mode == 'leader' and p is not None and env['term'] == self.term:
+            p.committed = max(p.committed, partner.tup(env['at']))
+            if p.granted is None:
+                # Why now: the round that its lease rests on may have been answered while it took this.
+                self.grant(p)
+
+    def alarm_pub(self):
+        if self.mode == 'leader' and self.flights:
+            self.step_down('no quorum for a generation')
+
+    def deposed(self, term):
+        if self.mode == 'leader':
+            self.step_down('newer term')
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -6,6 +6,8 @@
 
 import zinctrail.agree.frames as frames
 import zinctrail.agree.partner as partner
+import zinctrail.agree.outcomes as outcomes
+import zinctrail.agree.transactions as transactions
 import zinctrail.agree.voter as voter
 import zinctrail.ctl.api as api
 import zinctrail.ctl.claims as claims
@@ -149,10 +151,10 @@
         self.lock_until = {}
         waits, self.waits = self.waits, []
         for w in waits:
-            w['cb'](voter.LOST)
+            w['cb'](outcomes.LOST)
         watches, self.watches = self.watches, []
         for w in watches:
-            w['cb'](voter.NO_MASTER)
+            w['cb'](outcomes.NO_MASTER)
 
     def tick_master(self):
         if self.rep.committed[0] != self.term:
@@ -570,7 +572,7 @@
             'least_lease_ms': seam.to_ms(self.bounds.lease - (self.now - min(heard))) if heard else 0,
             'oldest_claim_epochs': (s['epoch'] or 0) - min(old) if old else 0,
         }
-        self.fence(lambda ok: cb({'status': 200, 'state': s} if ok else voter.NO_MASTER))
+        self.fence(lambda ok: cb({'status': 200, 'state': s} if ok else outcomes.NO_MASTER))
 
     def serve_items(self, args, cb):
         self.submit(lambda txn: items.apply(txn, args.get('change')), cb)
@@ -627,7 +629,7 @@
     def alarm_events(self):
         """Something came into force that watches may wait for."""
         watches, self.watches = self.watches, []
-        view = voter.View(self.rep, self.rep.committed, self.now)
+        view = transactions.View(self.rep, self.rep.committed, self.now)
         for w in watches:
             # Why not fenced: what is committed stays so, whoever leads; that there is nothing is told fenced.
             res = view.run(lambda txn: coord.run(self, txn, w['op'], w['args']))
