--- a/features/steps/doubts_steps.py
+++ b/features/steps/doubts_steps.py
@@ -1,10 +1,10 @@
 import types
 
 import behave
+import size_steps
 import twisted.internet.defer as defer
 import twisted.internet.task as task
 
-import size_steps
 import zinctrail.ctl.doubts as doubts
 import zinctrail.edge.dialect as dialect
 import zinctrail.edge.host as host
--- a/features/steps/open_days_steps.py
+++ b/features/steps/open_days_steps.py
@@ -8,6 +8,7 @@
 
 import behave
 
+import zinctrail.agree.voter as voter
 import zinctrail.ctl.coord as coord
 import zinctrail.ctl.items as items
 import zinctrail.ctl.routes as routes
@@ -15,7 +16,6 @@
 import zinctrail.data.passes as passes
 import zinctrail.data.proxy as proxy
 import zinctrail.data.repeats as repeats
-import zinctrail.agree.voter as voter
 import zinctrail.seam as seam
 import zinctrail.sim.open_days as open_days
 import zinctrail.sim.world as world
--- a/features/steps/open_steps.py
+++ b/features/steps/open_steps.py
@@ -2,12 +2,12 @@
 import socket
 
 import behave
+import edge_steps
 import twisted.internet.protocol as protocol
 import twisted.internet.reactor as reactor
 import twisted.internet.task as task
 import twisted.python.log as twisted_log
 
-import edge_steps
 import zinctrail.agree.partner as partner
 import zinctrail.bounds as bounds
 import zinctrail.data.proxy as proxy
--- a/features/steps/ops_steps.py
+++ b/features/steps/ops_steps.py
@@ -10,9 +10,9 @@
 import urllib.request
 
 import behave
-
 import open_steps
 import settings_steps
+
 import zinctrail.edge.metrics as metrics
 import zinctrail.fleet as fleet
 import zinctrail.follow as follow
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -5,9 +5,9 @@
 import tempfile
 
 import behave
+import settings
 
 import features.stands as stands
-import settings
 import zinctrail.bounds as bounds
 import zinctrail.seam as seam
 
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -2,11 +2,11 @@
 import random
 import zlib
 
+import agree_steps
 import behave
 import twisted.internet.task as task
 import twisted.internet.testing as testing
 
-import agree_steps
 import zinctrail.bounds as bounds
 import zinctrail.ctl.core as core
 import zinctrail.edge.wire as wire
--- a/zinctrail/agree/asks.py
+++ b/zinctrail/agree/asks.py
@@ -1,7 +1,7 @@
 """Operations that other members ask the master to do, each of them once."""
 
-import zinctrail.agree.partner as partner
 import zinctrail.agree.outcomes as outcomes
+import zinctrail.agree.partner as partner
 import zinctrail.seam as seam
 
 # How many outcomes a master remembers of what it was asked, and for how long.
--- a/zinctrail/agree/bootstrap.py
+++ b/zinctrail/agree/bootstrap.py
@@ -180,10 +180,10 @@
 
     def m_boot(self, env):
         view = env['view']
-        if self.empty() and self.node in view and not self.stopping:
-            # Why our own eyes: the set must be what we see, not only what somebody says.
-            if self.boot_view() == view or self.boot_seen == view or env['resumed']:
-                self.take_boot(env['c'], view)
+        # Our own view of the set counts, not only what somebody says of it.
+        seen = self.boot_view() == view or self.boot_seen == view or env['resumed']
+        if seen and self.empty() and self.node in view and not self.stopping:
+            self.take_boot(env['c'], view)
         self.tell(env['a'], 'boot_re', ok=self.cluster == env['c'] and self.rep.accepted >= (0, 1))
 
     def m_boot_re(self, env):
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -3,10 +3,10 @@
 import collections
 import zlib
 
+import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.partner as partner
 import zinctrail.agree.peers as peers
 import zinctrail.agree.replica as replica
-import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.transactions as transactions
 import zinctrail.seam as seam
 
@@ -50,7 +50,7 @@
         self.tries += 1
         self.prevotes = {self.node: self.term}
         self.counts['prevotes'] += 1
-        for node, addr in sorted(self.fresh_known().items()):
+        for _, addr in sorted(self.fresh_known().items()):
             self.tell(addr, 'prevote', term=self.term, accepted=self.rep.accepted)
         self.count_prevotes()
         self.plan_election()
@@ -90,7 +90,7 @@
         )
         self.raise_term(term, self.node)
         self.votes = {self.node: None}
-        for node, addr in sorted(self.fresh_known().items()):
+        for _, addr in sorted(self.fresh_known().items()):
             self.tell(addr, 'sjoin', term=term)
         self.count_votes()
 
--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -14,7 +14,6 @@
 import zinctrail.agree.replica as replica
 import zinctrail.faults as faults
 
-
 # 2: locks name their taking, call results what they were for, incarnations gone are rows.
 FORMAT = 2
 
--- a/zinctrail/agree/replication.py
+++ b/zinctrail/agree/replication.py
@@ -1,8 +1,8 @@
 """The master's single line of state versions: computed, published, committed in order."""
 
+import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
-import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.transactions as transactions
 
 # How many state versions may be on their way to a quorum at once.
--- a/zinctrail/ctl/api.py
+++ b/zinctrail/ctl/api.py
@@ -74,7 +74,7 @@
     try:
         doc = json.loads(call.body)
     except (ValueError, RecursionError) as e:
-        raise faults.CallFault(400, f'body is not JSON: {e}')
+        raise faults.CallFault(400, f'body is not JSON: {e}') from e
     if not isinstance(doc, dict):
         raise faults.CallFault(400, 'body must be a JSON object')
     return doc
--- a/zinctrail/ctl/config.py
+++ b/zinctrail/ctl/config.py
@@ -107,9 +107,9 @@
         r.number(f'{path}.deadline_ms', row['deadline_ms'], 1, 600000)
     if 'run_once' in row:
         r.flag(f'{path}.run_once', row['run_once'])
-    if 'repeat' in row and r.fields(f'{path}.repeat', row['repeat'], ('attempts',), ('attempts',)):
-        if 'attempts' in row['repeat']:
-            r.number(f'{path}.repeat.attempts', row['repeat']['attempts'], 1, 5)
+    repeat_known = 'repeat' in row and r.fields(f'{path}.repeat', row['repeat'], ('attempts',), ('attempts',))
+    if repeat_known and 'attempts' in row['repeat']:
+        r.number(f'{path}.repeat.attempts', row['repeat']['attempts'], 1, 5)
 
 
 def _cell(r, path, row, doc):
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -5,8 +5,8 @@
 import uuid
 
 import zinctrail.agree.frames as frames
-import zinctrail.agree.partner as partner
 import zinctrail.agree.outcomes as outcomes
+import zinctrail.agree.partner as partner
 import zinctrail.agree.transactions as transactions
 import zinctrail.agree.voter as voter
 import zinctrail.ctl.api as api
@@ -289,7 +289,7 @@
 
     def tick_endpoints(self):
         limit = self.now - self.bounds.beat * self.bounds.beats_missed
-        for inc, row in self.rep.get('endpoints').items():
+        for inc in self.rep.get('endpoints'):
             if self.beats.get(inc, self.mastered_at) < limit:
                 self.probe_endpoint(inc)
         for inc in [i for i, p in self.probing.items() if self.now - p['at'] > self.bounds.prober * 2]:
@@ -430,7 +430,7 @@
         dirs = {n: m for n, m in txn.items('members').items() if m['role'] == 'dir'}
         staying = {n: m for n, m in dirs.items() if not m.get('leaving')}
         pools = {k[6:] for k in txn.items('conf') if k.startswith('pools/')}
-        for key, row in txn.items('duties').items():
+        for key in txn.items('duties'):
             if key[7:] not in pools:
                 txn.drop('duties', key)
         for pool in sorted(pools):
@@ -632,7 +632,7 @@
         view = transactions.View(self.rep, self.rep.committed, self.now)
         for w in watches:
             # Why not fenced: what is committed stays so, whoever leads; that there is nothing is told fenced.
-            res = view.run(lambda txn: coord.run(self, txn, w['op'], w['args']))
+            res = view.run(lambda txn, w=w: coord.run(self, txn, w['op'], w['args']))
             if res['status'] != 200 or res['events']:
                 w['cb'](res)
             else:
--- a/zinctrail/dir/daemon.py
+++ b/zinctrail/dir/daemon.py
@@ -108,12 +108,12 @@
         s.update(
             ledgers={
                 p: {
-                    'fence': l.fence,
-                    'holders': len(l.holders),
-                    'ready': l.is_ready(self.now),
-                    'held': sum(sum(h.held.values()) for h in l.holders.values()),
+                    'fence': ledger.fence,
+                    'holders': len(ledger.holders),
+                    'ready': ledger.is_ready(self.now),
+                    'held': sum(sum(h.held.values()) for h in ledger.holders.values()),
                 }
-                for p, l in self.ledgers.items()
+                for p, ledger in self.ledgers.items()
             }
         )
         return s
--- a/zinctrail/edge/disk.py
+++ b/zinctrail/edge/disk.py
@@ -7,7 +7,6 @@
 
 import zinctrail.faults as faults
 
-
 # Why bounded: a folder must not keep growing when little is written.
 OLD_MOST = 512
 
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -5,8 +5,8 @@
 import json
 import resource
 
-from absl import logging
 import twisted.internet.task as task
+from absl import logging
 
 import zinctrail.edge.clock as clock
 import zinctrail.edge.dialect as dialect_
--- a/zinctrail/edge/metrics.py
+++ b/zinctrail/edge/metrics.py
@@ -57,7 +57,7 @@
                 family = core.HistogramMetricFamily(name, text, labels=labels)
                 for found, (rows, bounds, total) in values:
                     sums, so_far = [], 0
-                    for bound, n in zip([*map(str, bounds), '+Inf'], rows):
+                    for bound, n in zip([*map(str, bounds), '+Inf'], rows, strict=True):
                         so_far += n
                         sums.append((bound, so_far))
                     family.add_metric(list(found.values()), sums, total)
--- a/zinctrail/edge/relay.py
+++ b/zinctrail/edge/relay.py
@@ -12,11 +12,11 @@
 import twisted.internet.protocol as protocol
 import twisted.python.failure as failure
 import twisted.web._newclient as newclient
-import twisted.web.client as client
 import twisted.web.http_headers as http_headers
 import twisted.web.iweb as iweb
 import zope.interface
 
+import zinctrail.edge.reply as reply
 import zinctrail.edge.wire as wire
 import zinctrail.seam as seam
 
@@ -153,26 +153,6 @@
     return None
 
 
-class Body(protocol.Protocol):
-    """Reads a reply to its end, or says why it isn't whole."""
-
-    def __init__(self, done):
-        self.done = done
-        self.parts = []
-        self.size = 0
-
-    def dataReceived(self, data):
-        self.size += len(data)
-        self.parts.append(data)
-        if self.size > REPLY_MOST:
-            self.transport.abortConnection()
-
-    def connectionLost(self, reason=protocol.connectionDone):
-        whole = reason.check(client.ResponseDone) and self.size <= REPLY_MOST
-        # Why PotentialDataLoss is none: a reply without an end can't be told from a cut one.
-        self.done.callback((b''.join(self.parts), '' if whole else 'reply cut short'))
-
-
 class Relay:
     def __init__(self, reactor):
         self.reactor = reactor
@@ -312,7 +292,7 @@
             or (framing.hasHeader(b'transfer-encoding') and framing.hasHeader(b'content-length'))
         )
         whole = defer.Deferred()
-        response.deliverBody(Body(whole))
+        response.deliverBody(reply.ReplyBody(whole, REPLY_MOST))
 
         def got(body_fault):
             body, fault = body_fault
--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -5,11 +5,9 @@
 import twisted.internet.defer as defer
 import twisted.internet.endpoints as endpoints
 import twisted.internet.error as neterror
-import twisted.internet.protocol as protocol
 import twisted.internet.task as task
 import twisted.python.failure as failure
 import twisted.web.client as client
-
 import twisted.web.http_headers as http_headers
 import twisted.web.iweb as iweb
 import twisted.web.resource as resource
@@ -18,6 +16,7 @@
 
 import zinctrail.edge.early as early
 import zinctrail.edge.metrics as metrics
+import zinctrail.edge.reply as reply
 import zinctrail.seam as seam
 
 # Why: replies are kept whole in memory until they are checked.
@@ -129,31 +128,6 @@
     return s
 
 
-class Body(protocol.Protocol):
-    """Reads a reply to its end, or says why it isn't whole."""
-
-    def __init__(self, done):
-        self.done = done
-        self.parts = []
-        self.size = 0
-
-    def dataReceived(self, data):
-        self.size += len(data)
-        if self.size > REPLY_MOST:
-            self.transport.abortConnection()
-        else:
-            self.parts.append(data)
-
-    def connectionLost(self, reason=protocol.connectionDone):
-        if self.size > REPLY_MOST:
-            self.done.callback((b'', 'reply above the bound'))
-        elif reason.check(client.ResponseDone):
-            self.done.callback((b''.join(self.parts), ''))
-        else:
-            # Why PotentialDataLoss too: a reply without an end can't be told from a cut one.
-            self.done.callback((b''.join(self.parts), 'reply cut short'))
-
-
 @zope.interface.implementer(iweb.IAgentEndpointFactory)
 class ByNumber:
     """Connects to IP numbers as they are.
@@ -279,7 +253,7 @@
 
     def _read(self, response):
         whole = defer.Deferred(lambda d: body.transport and body.transport.abortConnection())
-        body = Body(whole)
+        body = reply.ReplyBody(whole, REPLY_MOST)
         headers = {
             k.decode('latin-1').lower(): b','.join(v).decode('latin-1') for k, v in response.headers.getAllRawHeaders()
         }
--- a/zinctrail/fleet_node.py
+++ b/zinctrail/fleet_node.py
@@ -36,6 +36,7 @@
 
 def main(argv):
     import twisted.internet.reactor as reactor
+
     import zinctrail.edge.clock as clock
     import zinctrail.edge.wire as wire
 
--- a/zinctrail/follow.py
+++ b/zinctrail/follow.py
@@ -54,7 +54,10 @@
 def elections(recs, term=None):
     """Lines about each term: who stood and why, who voted for whom, who led with whose votes, and how it ended."""
     names = names_of(recs)
-    name = lambda node: names.get(node, node) or '?'
+
+    def name(node):
+        return names.get(node, node) or '?'
+
     terms = collections.defaultdict(list)
     for r in recs:
         if r.get('event') in ELECTION and r.get('term', '').isdigit():
--- a/zinctrail/prog/ztctl.py
+++ b/zinctrail/prog/ztctl.py
@@ -36,6 +36,7 @@
 5 waited in vain.
 """
 
+import functools
 import json
 import os
 import sys
@@ -78,7 +79,7 @@
             last = f'{at}: {e}'
             # Why stop: a change that was sent may be in force, and asking another could act twice.
             if method != 'GET' and not isinstance(e, ConnectionRefusedError):
-                raise Stop(NOBODY, f'{last}; it may or may not have been done')
+                raise Stop(NOBODY, f'{last}; it may or may not have been done') from e
     raise Stop(NOBODY, last)
 
 
@@ -100,7 +101,7 @@
         with sys.stdin if name == '-' else open(name, encoding='utf-8') as f:
             return json.load(f)
     except (OSError, ValueError) as e:
-        raise Stop(FAILED, f'{name}: {e}')
+        raise Stop(FAILED, f'{name}: {e}') from e
 
 
 def put(config, base):
@@ -367,7 +368,7 @@
                 lines += f
         return lines
     except OSError as e:
-        raise Stop(FAILED, str(e))
+        raise Stop(FAILED, str(e)) from e
 
 
 def told(lines, nothing):
@@ -392,7 +393,7 @@
 def table(rows):
     wide = [max(len(r[i]) for r in rows) for i in range(len(rows[0]))]
     for r in rows:
-        print('  '.join(text.ljust(n) for text, n in zip(r, wide)).rstrip())
+        print('  '.join(text.ljust(n) for text, n in zip(r, wide, strict=True)).rstrip())
 
 
 def in_force(s, gen):
@@ -400,21 +401,37 @@
     return all(r['generation'][1] >= gen for r in s['members'].values() if r['role'] != 'core')
 
 
+def is_version_in_force(state, version):
+    """Whether a version of the state is in force on every member that acts on routes."""
+    return state['generation'][1] >= version and in_force(state, min(version, state['routes']))
+
+
+def is_drained(state, address):
+    """Whether no member sends anything more to an endpoint's address."""
+    # The newest version: the drain mark is somewhere at or below it.
+    ready = any(r['addr'] == address and r['state'] == 'ready' for r in state['endpoints'].values())
+    return in_force(state, state['routes']) and not ready
+
+
+def are_leased(state, count):
+    """Whether so many members hold a lease."""
+    return sum(r['leased'] for r in state['members'].values()) >= count
+
+
+def wait_condition(args):
+    """What `wait` waits for, as a function of the core's status."""
+    if seam.is_whole(args[0]):
+        return functools.partial(is_version_in_force, version=int(args[0]))
+    if args[0] == 'drained' and len(args) == 2 and frames.is_addr(args[1]):
+        return functools.partial(is_drained, address=args[1])
+    if args[0] == 'members' and len(args) == 2 and seam.is_whole(args[1]):
+        return functools.partial(are_leased, count=int(args[1]))
+    raise Stop(USAGE, 'wait: must be GENERATION, drained IP:PORT or members N')
+
+
 def do_wait(args):
     need(args, 1)
-    if seam.is_whole(args[0]):
-        gen = int(args[0])
-        done = lambda s: s['generation'][1] >= gen and in_force(s, min(gen, s['routes']))
-    elif args[0] == 'drained' and len(args) == 2 and frames.is_addr(args[1]):
-        # Why the newest generation: the mark is somewhere at or below it.
-        done = lambda s: (
-            in_force(s, s['routes'])
-            and not any(r['addr'] == args[1] and r['state'] == 'ready' for r in s['endpoints'].values())
-        )
-    elif args[0] == 'members' and len(args) == 2 and seam.is_whole(args[1]):
-        done = lambda s: sum(r['leased'] for r in s['members'].values()) >= int(args[1])
-    else:
-        raise Stop(USAGE, 'wait: must be GENERATION, drained IP:PORT or members N')
+    done = wait_condition(args)
     end = clock.seconds() + FLAGS.within
     while True:
         try:
--- a/zinctrail/prog/ztfleet.py
+++ b/zinctrail/prog/ztfleet.py
@@ -31,7 +31,7 @@
         if getattr(FLAGS, k) is not None:
             s[k] = getattr(FLAGS, k)
     if FLAGS.endpoints is not None:
-        s['services'] = {name: FLAGS.endpoints for name in s['services']}
+        s['services'] = dict.fromkeys(s['services'], FLAGS.endpoints)
     return s
 
 
