Take an endpoint's refusal only if it names the request; refuse what has no time left

Cause: data/open.check took a 421 or a not-run mark as a promise before it looked whether the answer carries this request's id. A late answer to an earlier request in the place of ours, or one without any id, sent a request that may run once on to a second endpoint, or told its client 503 for what had run.

Change: a refusal counts only with the id of its request (data.open.refused); without it, the outcome is unknown: 502 for what may run once, another try for the rest. A request with under a tenth of its aim left, and less than its pool usually takes, is refused as not run instead of sent: such a send offers it to nobody.

--- a/zinctrail/data/open.py
+++ b/zinctrail/data/open.py
@@ -53,6 +53,8 @@
 HEDGE_AGAIN = seam.ms(60)
 # How many proxies may send to a cold endpoint, as a multiple of the requests a second that it bears.
 COLD_SENDERS = 1.5
+# The share of its aim below which the time that is left is next to nothing.
+LEAST_LEFT = 0.1
 # The weight of one more answer in what is kept of an endpoint's answers, and when a bad one is forgotten.
 SMOOTH = 0.15
 BAD_OLD = seam.ms(8000)
@@ -209,6 +211,8 @@
 def send(prox, rec):
     if prox.now >= rec.until:
         raise passes.Drop(504, 'no time left')
+    if not rec.sends and prox.too_late(rec):
+        raise passes.Drop(503, 'too little time left for any endpoint', retry_ms=come_back(prox, rec))
     if rec.sends:
         prox.may_repeat(rec).repeat(prox.now)
         prox.counts['repeats'] += 1
@@ -218,6 +222,13 @@
     return passes.WAIT
 
 
+def refused(rec, res):
+    """Whether the endpoint says, of this very request, that it did not run it and will not."""
+    # An answer to another request, come late in the place of ours, promises nothing of ours. Neither does one that
+    # names no request.
+    return not res.fault and res.headers.get('zt-id') == rec.id and (res.status == 421 or 'zt-not-run' in res.headers)
+
+
 def fault_of(rec, res):
     """Why a reply is not whole or not of this request; '' if it is."""
     if res.fault:
@@ -244,7 +255,7 @@
         rec.sends -= 1
         return prox.again_open(rec, passes.Drop(503, 'the endpoint could not be reached', retry_ms=100))
     fault = fault_of(rec, res)
-    if not res.fault and (res.status == 421 or 'zt-not-run' in res.headers):
+    if refused(rec, res):
         if res.status == 421:
             prox.rest(rec.inc)
         return prox.again_open(rec, passes.Drop(503, 'the endpoint did not run it', retry_ms=150))
@@ -526,7 +537,7 @@
             end.seen, end.seen_use, end.seen_at = max(0, int(parts[0]) - 1) + int(parts[1]), end.use, self.now
 
     def note_answer(self, rec, inc, end, res, took):
-        if not res.sent or 'zt-not-run' in res.headers or res.status == 421:
+        if not res.sent or refused(rec, res):
             return
         bad = bool(fault_of(rec, res)) or res.status >= 500
         end.told(self.now, bad, took)
@@ -561,6 +572,13 @@
         if self.master:
             self.tell(self.master['addr'], 'suspect', inc=inc)
 
+    def too_late(self, rec):
+        """Whether what is left is next to nothing, and less than its pool usually takes."""
+        left = rec.until - self.now
+        # Refused rather than sent: its outcome would be unknown to a caller that could still be told that it did not
+        # run, and the endpoint would work for nobody.
+        return left < (rec.aim - rec.came) * LEAST_LEFT and seam.to_ms(left) < self.usual.get(rec.pool, 0.0)
+
     def more(self, rec):
         return rec.sends < rec.rule.get('attempts', 1) and self.now < rec.until
 
