Simulator: every kind of trouble that the platform lists, and three of its own faults mended

Cause: 35 kinds and ways of the platform's list could not be played in the simulator, so that searches never met them. sim.World.isolate looked endpoints up by address where cuts go by name, so that an isolated process still reached them. The checkers config and denied took a 404 for wrong although no version of its rule had passed the bound. A drained endpoint left 300 ms after its time, too soon for late requests to show.

The checker of acknowledgements counts no order while replies to operators are lost, as the gate counts none with a link in trouble; the checker of held requests counts none that was sent towards an endpoint that is cut off, since nothing tells its front; lost counts a reset as unplanned trouble.

--- /dev/null
+++ b/features/simulator.feature
@@ -0,0 +1,109 @@
+Feature: The simulator brings about every kind of trouble, and judges no stricter and no laxer than the rules
+
+  Scenario Outline: Trouble <kind> can be brought about: <faults>
+    Then the simulator's registry of troubles has <faults>
+    Examples: clients and endpoints
+      | kind               | faults |
+      | retry_abuse, burst | retry_abuse crowd |
+      | srv_crash          | srv_crash srv_crash_dark srv_crash_gone srv_crash_all |
+      | release            | release |
+      | replace_with_reuse | replace_with_reuse replace_with_reuse_drain replace_with_reuse_dark |
+      | scale_in           | scale_in scale_in_spot |
+      | scale_out          | scale_out |
+      | cold_return        | cold_return cold_return_dark |
+      | answer_lost        | answer_lost answer_lost_often |
+      | garble             | garble garble_extra |
+      | srv_slow           | slow_ends |
+      | srv_grey           | srv_grey_errors srv_grey_shed srv_grey_busy srv_grey_hang srv_grey_reset srv_grey_mute srv_grey_slow |
+      | srv_lying_health   | srv_lying_health srv_lying_health_bad |
+      | srv_flap           | srv_flap |
+      | idle_race          | idle_race |
+    Examples: machines, disks and links
+      | kind               | faults |
+      | node_kill          | node_kill node_kill_master node_kill_amid masters_in_turn |
+      | node_freeze        | node_freeze freeze_master |
+      | node_slow          | node_slow |
+      | roll_term          | roll_term roll_term_fronts roll_term_remove roll_term_remove_core roll_term_busy |
+      | herd_kill          | herd_kill herd_kill_core herd_kill_core_power herd_kill_taken herd_kill_fronts |
+      | replace_core       | replace_core replace_core_planned |
+      | after_ack_kill     | after_ack_kill after_ack_kill_alone after_ack_kill_timed after_ack_kill_taken |
+      | after_ack_wipe     | after_ack_wipe |
+      | disk_full          | disk_full |
+      | disk_slow          | disk_slow |
+      | disk_stall         | disk_stall |
+      | clock_step         | clock_step |
+      | zone_loss          | zone_loss |
+      | zone_cut           | zone_cut |
+      | core_cut           | core_cut core_cut_leader core_cut_leader_long core_cut_one_way core_cut_seeds core_cut_both |
+      | node_cut           | node_cut node_cut_all node_cut_servers |
+      | reset_conns        | reset_conns |
+      | hup                | hup |
+      | seed_turnover      | seed_turnover |
+      | closing            | power_off_all wipe_after_ack kill_all |
+    Examples: operators
+      | kind               | faults |
+      | config_change      | config_change config_move config_idle |
+      | config_race        | config_race |
+      | config_storm       | config_storm |
+      | bad_config         | bad_config old_version |
+      | big_config         | big_config |
+      | ack_lost           | ack_lost replies_lost |
+      | evacuate           | evacuate evacuate_warm |
+
+  Scenario Outline: An isolated process reaches no endpoint, <traffic>
+    Given a simulated day of <traffic>
+    When a proxy is isolated
+    Then its calls to each endpoint end without an answer
+    And once healed they are answered
+    Examples:
+      | traffic        |
+      | library calls  |
+      | open traffic   |
+
+  Scenario Outline: A rule acknowledged at 10.080 s and asked for at <at> s, 404: <verdict>
+    Given notes of a rule acknowledged at 10.080 s, and <requests> requests for it at <at> s that got 404
+    Then checker <checker> says <verdict>
+    Examples: inside the bound of 3 s no rule at all may be in force still, after it the rule must be
+      | checker | requests | at     | verdict   |
+      | config  | 1        | 10.090 | nothing   |
+      | config  | 1        | 13.079 | nothing   |
+      | config  | 1        | 13.081 | something |
+      | denied  | 20       | 10.090 | nothing   |
+      | denied  | 20       | 13.081 | something |
+
+  Scenario Outline: A newer version of a rule inside its bound, <checker>
+    Given notes of a rule in force since 5.000 s, changed at 10.080 s, with 20 requests for it at 10.090 s that got 404
+    Then checker <checker> says something
+    Examples:
+      | checker |
+      | config  |
+      | denied  |
+
+  Scenario: A drained endpoint serves on for 800 ms after its time
+    Given a simulated day of open traffic
+    When a simulated endpoint drains
+    Then it is up 3.7 s after the acknowledgement, and gone at 4.5 s
+
+  Scenario: A connection that an endpoint dropped without notice is reset at its next use, and new after that
+    Given a simulated day of open traffic
+    When an endpoint drops connections that rested for 300 ms
+    Then a call right after another is answered, one 400 ms later is reset and runs nothing, and the next is answered
+
+  Scenario Outline: An endpoint ill by <how>
+    Given a simulated day of open traffic
+    When an endpoint answers every request by <how>
+    Then a call there ends as <outcome>, and ran <runs> times
+    Examples:
+      | how    | outcome         | runs |
+      | errors | 500             | 1    |
+      | shed   | 503             | 0    |
+      | busy   | 429             | 0    |
+      | hang   | late            | 1    |
+      | mute   | late            | 0    |
+      | reset  | connection lost | 0    |
+
+  Scenario: A reset breaks the calls under way at a process, and the process goes on
+    Given a simulated day of open traffic
+    When all connections of a proxy are reset while it has calls under way
+    Then their callers are told that the connection was lost
+    And the proxy serves again within a second
--- /dev/null
+++ b/features/steps/simulator_steps.py
@@ -0,0 +1,212 @@
+"""The simulator itself: its registry of troubles, what a cut or a reset cuts, and where its checkers draw the line."""
+
+import behave
+
+import zinctrail.seam as seam
+import zinctrail.sim.days as days
+import zinctrail.sim.open_cast as open_cast
+import zinctrail.sim.open_checks as open_checks
+import zinctrail.sim.open_days as open_days
+
+ms = seam.ms
+
+WAIT = ms(1000)
+RULE = {'name': 'r-new', 'host': 'new.example', 'prefix': '/new/', 'pool': 'search', 'once': False}
+
+
+@behave.then("the simulator's registry of troubles has {faults}")
+def _(context, faults):
+    missing = [name for name in faults.split() if name not in open_days.FAULTS]
+    assert not missing, missing
+
+
+# -- a world with its cast -----------------------------------------------------------
+
+
+@behave.given('a simulated day of {traffic}')
+def _(context, traffic):
+    kind = {'library calls': days, 'open traffic': open_days}[traffic]
+    context.day = kind.Day(1, drift=0.0)
+    context.world, context.cast = context.day.world, context.day.cast
+    context.cast.start()
+    context.path = '/zt/live' if kind is days else '/health'
+
+
+def call(context, source, end, **headers):
+    """The outcome of one call from a process to an endpoint."""
+    got = []
+    deferred = context.world.fetch(source, end.addr, 'GET', context.path, headers, b'', WAIT)
+    deferred.addCallback(got.append)
+    context.world.run(WAIT * 2, lambda: bool(got))
+    return got[0]
+
+
+@behave.when('a proxy is isolated')
+def _(context):
+    context.proxy = context.world.of('prox')[0]
+    context.world.isolate(context.proxy.name)
+
+
+@behave.then('its calls to each endpoint end without an answer')
+def _(context):
+    answered = [e.name for e in context.cast.ends if not call(context, context.proxy.name, e).fault]
+    assert not answered, answered
+
+
+@behave.then('once healed they are answered')
+def _(context):
+    context.world.heal()
+    lost = [e.name for e in context.cast.ends if call(context, context.proxy.name, e).fault]
+    assert not lost, lost
+
+
+# -- made-up notes ---------------------------------------------------------------------
+
+
+def acknowledged(notes, version, at):
+    row = dict(RULE, version=version)
+    notes.changes.append(
+        {'key': 'rules/r-new', 'v': version, 'row': row, 't0': at - ms(50), 't': at, 'status': 200, 'by': 'core0'}
+    )
+
+
+def turned_away(notes, number, at):
+    notes.tries.append(
+        {
+            'id': f'{number:016x}',
+            'rule': 'r-new',
+            'front': 'prox0',
+            'sent_at': at,
+            't': at + ms(5),
+            'status': 404,
+            'fault': None,
+            'headers': {},
+        }
+    )
+
+
+def seconds(text):
+    return ms(1000 * float(text))
+
+
+@behave.given('notes of a rule acknowledged at {acked} s, and {requests:d} requests for it at {at} s that got 404')
+def _(context, acked, requests, at):
+    context.cast = open_days.Day(1).cast
+    acknowledged(context.cast.notes, 1, seconds(acked))
+    for number in range(requests):
+        turned_away(context.cast.notes, number, seconds(at))
+
+
+@behave.given(
+    'notes of a rule in force since {acked} s, changed at {changed} s,'
+    ' with {requests:d} requests for it at {at} s that got 404'
+)
+def _(context, acked, changed, requests, at):
+    context.cast = open_days.Day(1).cast
+    acknowledged(context.cast.notes, 1, seconds(acked))
+    acknowledged(context.cast.notes, 2, seconds(changed))
+    for number in range(requests):
+        turned_away(context.cast.notes, number, seconds(at))
+
+
+@behave.then('checker {checker} says {verdict:w}')
+def _(context, checker, verdict):
+    found = open_checks.run(context.cast, checker)
+    assert bool(found) == (verdict == 'something'), found
+
+
+# -- endpoints -----------------------------------------------------------------------------
+
+
+def an_endpoint(context):
+    return context.cast.ends[0]
+
+
+@behave.when('a simulated endpoint drains')
+def _(context):
+    an_endpoint(context).drain()
+    notes = context.cast.notes
+    assert context.world.run(ms(6000), lambda: bool(notes.states))
+    context.acked_at = notes.states[-1][0]
+
+
+@behave.then('it is up {up} s after the acknowledgement, and gone at {gone} s')
+def _(context, up, gone):
+    end, world = an_endpoint(context), context.world
+    world.run(context.acked_at + seconds(up) - world.now)
+    assert end.up
+    world.run(context.acked_at + seconds(gone) - world.now)
+    assert not end.up
+
+
+def ask(context, rid):
+    """One request as a proxy sends it to an endpoint: its outcome, and how often it ran."""
+    end, got = an_endpoint(context), []
+    headers = {'zt-id': rid, 'zt-inc': end.inc, 'zt-left-ms': '900'}
+    fetch = seam.Fetch(1, end.addr, end.inc, 'GET', '/x', headers, b'', WAIT, plain=True)
+    context.world.fetch_end('prox0', fetch).addCallback(got.append)
+    context.world.run(WAIT * 2, lambda: bool(got))
+    return got[0].fault or str(got[0].status), sum(run['id'] == rid for run in context.cast.notes.runs)
+
+
+@behave.when('an endpoint drops connections that rested for {rest:d} ms')
+def _(context, rest):
+    an_endpoint(context).forgets = ms(rest)
+    an_endpoint(context).work = 20
+
+
+@behave.then(
+    'a call right after another is answered, one {rest:d} ms later is reset and runs nothing, and the next is answered'
+)
+def _(context, rest):
+    assert [ask(context, 'a1'), ask(context, 'a2')] == [('200', 1), ('200', 1)]
+    context.world.run(ms(rest))
+    assert ask(context, 'a3') == ('connection lost', 0)
+    assert ask(context, 'a4') == ('200', 1)
+
+
+@behave.when('an endpoint answers every request by {how:w}')
+def _(context, how):
+    an_endpoint(context).ill, an_endpoint(context).ill_share = how, 1.0
+
+
+@behave.then('a call there ends as {outcome}, and ran {runs:d} times')
+def _(context, outcome, runs):
+    assert sorted(open_cast.ILL_ANSWERS) == ['busy', 'errors', 'hang', 'mute', 'reset', 'shed']
+    got = ask(context, 'b1')
+    assert got == (outcome, runs), got
+
+
+# -- resets -------------------------------------------------------------------------------------
+
+
+@behave.when('all connections of a proxy are reset while it has calls under way')
+def _(context):
+    context.cast.call_all()
+    context.proxy = context.world.of('prox')[0]
+    assert context.world.run(ms(9000), lambda: len(context.proxy.rids) > 1)
+    notes = context.cast.notes
+    context.under_way = [tr for tr in notes.tries if tr['t'] is None and tr['front'] == context.proxy.name]
+    assert context.under_way
+    context.world.reset(context.proxy, 1.0)
+    context.reset_at = context.world.now
+
+
+@behave.then('their callers are told that the connection was lost')
+def _(context):
+    context.world.run(ms(200))
+    faults = {tr['fault'] for tr in context.under_way}
+    assert 'connection lost' in faults, faults
+    assert all(tr['t'] is not None for tr in context.under_way), context.under_way
+
+
+@behave.then('the proxy serves again within a second')
+def _(context):
+    context.world.run(ms(3000))
+    served = [
+        tr
+        for tr in context.cast.notes.tries
+        if tr['front'] == context.proxy.name and tr['sent_at'] > context.reset_at and open_checks.success(tr)
+    ]
+    assert served
+    assert min(tr['t'] for tr in served) < context.reset_at + ms(1000), served[0]['t']
--- /dev/null
+++ b/zinctrail/sim/control_faults.py
@@ -0,0 +1,300 @@
+"""Troubles of the control side on days of open traffic: long cuts, storms of changes, resets, slow machines.
+
+Each is registered in sim.open_days.FAULTS under the name of the platform's
+trouble and the way it comes, and returns how long until all of it is back.
+"""
+
+import dataclasses
+
+import zinctrail.seam as seam
+import zinctrail.sim.open_cast as open_cast
+import zinctrail.sim.open_days as open_days
+
+ms = seam.ms
+fault = open_days.fault
+
+OPERATORS = ('op', 'op0', 'op1', 'op2')
+LONG_CUT = ms(20000)
+SHORT_CUT = ms(6000)
+SLOW_SPAN = ms(5000)
+POWER_AWAY = ms(2000)
+
+
+# -- cuts ------------------------------------------------------------------------
+
+
+def cut_off(day, node, length):
+    """Cut one control node from the other control nodes; proxies and callers still reach it."""
+    day.world.part([node.name], [other.name for other in day.world.of('core')])
+    day.later(length, day.world.heal)
+
+
+def one_control_node(day):
+    """The master or any other control node, as the day's luck has it."""
+    return day.world.master() or day.pick('core') if day.rng.random() < 0.7 else day.pick('core')
+
+
+@fault
+def core_cut_leader_long(day):
+    """The master is cut off for twenty seconds, and orders of all kinds go on."""
+    master = day.world.master()
+    if master is None:
+        day.miss('core_cut_leader_long')
+        return ms(0)
+    cut_off(day, master, LONG_CUT)
+    orders = (open_days.change_timeout, open_days._move, open_days._race, open_days._add_drop)
+    for second in range(1, 20, 2):
+        day.later(ms(1000) * second, day.rng.choice(orders), day)
+    cell = day.rng.choice(day.cast.cells)
+    day.later(ms(5000), day.cast.op.empty, cell)
+    day.later(ms(15000), day.cast.op.empty, cell, False)
+    # One change arrives just as the cut heals.
+    day.later(LONG_CUT, open_days.change_timeout, day)
+    return LONG_CUT + ms(2000)
+
+
+@fault
+def core_cut_seeds(day):
+    """A control node is cut off, the settings name it first, and some other machines restart."""
+    node = one_control_node(day)
+    cut_off(day, node, SHORT_CUT)
+    others = [other.place.addr for other in day.world.of('core') if other is not node]
+    for other in day.world.nodes.values():
+        other.place.seeds = [node.place.addr, *others[:2]]
+    for front in day.rng.sample(day.world.of('prox'), 2):
+        front.kill()
+        day.back(front, ms(800))
+    return SHORT_CUT + ms(1000)
+
+
+@fault
+def core_cut_both(day):
+    """A control node is cut off and restarted meanwhile; then the others are restarted, one after another."""
+    node = one_control_node(day)
+    cut_off(day, node, ms(9000))
+    restarted = [node, *(other for other in day.world.of('core') if other is not node)]
+    for i, other in enumerate(restarted):
+        day.later(ms(1500) * (i + 1), restart, day, other)
+    day.later(ms(8800), open_days.change_timeout, day)
+    return ms(9000) + ms(1500) * len(restarted)
+
+
+def restart(day, node):
+    node.kill()
+    day.back(node, ms(600))
+
+
+@fault
+def zone_cut(day):
+    """A zone's machines and endpoints are cut off from the others; its clients still reach all."""
+    world = day.world
+    cell = day.rng.choice(day.cast.cells)
+    parties = [*world.nodes, *(end.name for end in day.cast.ends if end.up)]
+    inside = [name for name in parties if world.where.get(name) == cell]
+    for name in inside:
+        for other in parties:
+            if other not in inside:
+                world.cut(name, other)
+    day.later(SHORT_CUT, world.heal)
+    return SHORT_CUT + ms(1000)
+
+
+@fault
+def node_cut_servers(day):
+    """Some endpoints are cut off from all machines."""
+    for end in day.some(day.cast.ends, 0.2):
+        day.world.isolate(end.name)
+    day.later(SHORT_CUT, day.world.heal)
+    return SHORT_CUT + ms(1000)
+
+
+@fault
+def reset_conns(day):
+    """Half of the connections of some machines are reset, three times over."""
+    for i in range(3):
+        day.later(ms(1500) * i, reset_some, day)
+    return ms(5000)
+
+
+def reset_some(day):
+    nodes = list(day.world.nodes.values())
+    for node in day.rng.sample(nodes, max(2, len(nodes) // 4)):
+        day.world.reset(node, 0.5)
+
+
+# -- slow machines and disks -----------------------------------------------------------
+
+
+@fault
+def node_slow(day):
+    """A control node and a proxy get a fifth of their time, in slices of 50 ms."""
+    for node in (one_control_node(day), day.pick('prox')):
+        for i in range(int(SLOW_SPAN / ms(50))):
+            day.later(ms(50) * i, stand_still, node, ms(40))
+    return SLOW_SPAN + ms(2000)
+
+
+def stand_still(node, length):
+    if node.up and node.paused is None:
+        node.pause(length)
+
+
+@fault
+def disk_slow(day):
+    """A control node's disk takes thirty times as long, its process with it."""
+    node = one_control_node(day)
+    node.disk.stall = ms(60)
+    day.later(SLOW_SPAN, setattr, node.disk, 'stall', ms(0))
+    return SLOW_SPAN + ms(2000)
+
+
+# -- stops and losses -----------------------------------------------------------------------
+
+
+@fault
+def roll_term_remove_core(day):
+    """A control node is told to end and stays away; later it comes back, with its disk."""
+    node = one_control_node(day)
+    open_days._term(day, node, again=False)
+    day.later(ms(10000), lambda: node.up or node.start())
+    return ms(12000)
+
+
+@fault
+def roll_term_busy(day):
+    """Each machine is told to end while it answers a request."""
+    nodes = list(day.world.nodes.values())
+    day.rng.shuffle(nodes)
+    gap = ms(1000)
+    for i, node in enumerate(nodes):
+        day.later(gap * i, end_when_busy, day, node, day.world.now + gap * (i + 1))
+    return gap * len(nodes) + ms(6000)
+
+
+def end_when_busy(day, node, by):
+    """SIGTERM as soon as a request is under way there, `by` at the latest."""
+    if node.rids or day.world.now >= by:
+        open_days._term(day, node)
+    else:
+        day.later(ms(5), end_when_busy, day, node, by)
+
+
+def lose_power(day, nodes):
+    for node in nodes:
+        node.kill(power=True)
+        day.back(node, POWER_AWAY + ms(day.rng.uniform(0, 300)))
+
+
+@fault
+def herd_kill_core_power(day):
+    """All control nodes lose power at once."""
+    lose_power(day, day.world.of('core'))
+    return ms(4000)
+
+
+@fault
+def herd_kill_taken(day):
+    """All control nodes lose power right after an application's call was answered with success."""
+    return when_work_is_accepted(day, lambda node: lose_power(day, day.world.of('core')))
+
+
+@fault
+def after_ack_kill_taken(day):
+    """The control node that has just answered an application's call with success loses power."""
+    return when_work_is_accepted(day, lambda node: lose_power(day, [node]))
+
+
+def when_work_is_accepted(day, what):
+    hit = []
+
+    def struck(name):
+        node = day.world.nodes.get(name)
+        if not hit and node:
+            hit.append(name)
+            what(node)
+
+    def over():
+        day.cast.on_work = None
+        if not hit:
+            day.miss('when_work_is_accepted')
+
+    day.cast.on_work = struck
+    day.later(ms(3000), over)
+    return ms(8000)
+
+
+@fault
+def after_ack_kill_timed(day):
+    """A control node loses power 5 to 400 ms after a change was sent, acknowledged or not."""
+    open_days.change_timeout(day)
+    day.later(ms(day.rng.uniform(5, 400)), lambda: lose_power(day, [one_control_node(day)]))
+    return ms(6000)
+
+
+@fault
+def after_ack_kill_alone(day):
+    """The process that acknowledges a change is killed, its machine keeps power."""
+    return open_days._after_ack(day, lambda node: (node.kill(), day.back(node, ms(3000))))
+
+
+# -- settings ------------------------------------------------------------------------------------
+
+
+@fault
+def hup(day):
+    """Some machines read their settings again, unchanged."""
+    nodes = list(day.world.nodes.values())
+    for i, node in enumerate(day.rng.sample(nodes, max(1, round(0.3 * len(nodes))))):
+        day.later(ms(400) * i, read_settings, day, node)
+    return ms(400) * len(nodes) + ms(2000)
+
+
+def read_settings(day, node):
+    if node.up and node.paused is None:
+        node.feed('settings', dataclasses.replace(node.place), day.world.bounds)
+
+
+# -- operators ---------------------------------------------------------------------------------------
+
+
+@fault
+def config_storm(day):
+    """A change each 100 ms for five seconds, with no pause for the acknowledgements."""
+    for i in range(50):
+        day.later(ms(100) * i, open_days.change_timeout, day)
+    return ms(8000)
+
+
+@fault
+def config_idle(day):
+    """The limits of what clients may send are changed."""
+    limits = {
+        'version': day.cast.next_version(),
+        'header_bytes': 16384,
+        'body_bytes': 1 << 26,
+        'header_ms': 3000,
+        'idle_ms': day.rng.choice((8000, 12000, 20000)),
+    }
+    day.cast.op.change({'limits': limits})
+    return ms(4000)
+
+
+@fault
+def ack_lost(day):
+    """Most acknowledgements to operators are lost, and each order is sent again until one arrives."""
+    for who in OPERATORS:
+        day.world.reply_loss[who] = 0.7
+    day.cast.notes.ack_losses.append((day.world.now, day.world.now + ms(8000)))
+    day.later(ms(8000), forget_losses, day)
+    for i in range(5):
+        day.later(ms(1200) * i, open_days.change_timeout, day)
+        day.later(ms(1200) * i + ms(300), open_days._race, day)
+    cell = day.rng.choice(day.cast.cells)
+    day.later(ms(2000), day.cast.op.empty, cell)
+    day.later(ms(6500), open_cast.Operator(day.cast, 'op1').empty, cell, False)
+    return ms(10000)
+
+
+def forget_losses(day):
+    for who in OPERATORS:
+        day.world.reply_loss.pop(who, None)
