--- a/features/platform.feature
+++ b/features/platform.feature
@@ -118,25 +118,31 @@
   Scenario Outline: The highest version of a name holds, set or dropped
     Given a desk with the first configuration
     When these are sent: <sent>
-    Then each is answered 200
+    Then they are answered in turn: <answers>
     And of r1 there stands <stands>
     Examples:
-      | sent                            | stands    |
-      | set 9                           | 9         |
-      | set 5                           | 7         |
-      | set 7                           | 7         |
-      | set 9, set 8                    | 9         |
-      | set 9, set 9                    | 9         |
-      | set 9, set 40, set 12           | 40        |
-      | drop 9                          | nothing   |
-      | drop 7                          | 7         |
-      | drop 6                          | 7         |
-      | drop 9, set 8                   | nothing   |
-      | drop 9, set 9                   | nothing   |
-      | drop 9, set 10                  | 10        |
-      | drop 9, drop 12, set 11         | nothing   |
-      | set 20, drop 9                  | 20        |
-      | set 20, drop 20                 | 20        |
+      | sent                            | answers       | stands    |
+      | set 9                           | 200           | 9         |
+      | set 5                           | 200           | 7         |
+      | set 7                           | 409           | 7         |
+      | set 9, set 8                    | 200, 200      | 9         |
+      | set 9, set 9                    | 200, 200      | 9         |
+      | set 9, set 40, set 12           | 200, 200, 200 | 40        |
+      | drop 9                          | 200           | nothing   |
+      | drop 7                          | 409           | 7         |
+      | drop 6                          | 200           | 7         |
+      | drop 9, set 8                   | 200, 200      | nothing   |
+      | drop 9, set 9                   | 200, 409      | nothing   |
+      | drop 9, set 10                  | 200, 200      | 10        |
+      | drop 9, drop 12, set 11         | 200, 200, 200 | nothing   |
+      | set 20, drop 9                  | 200, 200      | 20        |
+      | set 20, drop 20                 | 200, 409      | 20        |
+      | set 20, drop 9, set 9           | 200, 200, 409 | 20        |
+
+  Scenario: A refusal for a version that is another content's names the item, and holds on
+    Given a desk with the first configuration
+    When these are sent: drop 7
+    Then its refusal names r1 of route_list at 7, below 7 that stands, and no time to come back
 
   Scenario: A name that never stood may be dropped, and then an older one does not come
     Given a desk with the first configuration
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -141,9 +141,17 @@
         context.answers.append(context.desk.ask('PATCH', '/v1/configuration', one(verb, int(version)), node=node))
 
 
-@behave.then('each is answered {status:d}')
-def _(context, status):
-    assert all(a.status == status for a in context.answers), context.answers
+@behave.then('they are answered in turn: {statuses}')
+def _(context, statuses):
+    assert [str(a.status) for a in context.answers] == statuses.split(', '), context.answers
+
+
+@behave.then('its refusal names {name} of {part} at {version:d}, below {standing:d} that stands, and no time to come back')
+def _(context, name, part, version, standing):
+    (got,) = context.answers
+    named = {'list': part, 'name': name, 'version_number': version, 'standing_version_number': standing}
+    assert got.status == 409 and got.doc['conflicts'] == [named], got
+    assert 'retry-after' not in {k.lower() for k in got.headers}, got
 
 
 @behave.then('of r1 there stands {what}')
--- a/zinctrail/ctl/api.py
+++ b/zinctrail/ctl/api.py
@@ -8,6 +8,7 @@
 
 import zinctrail
 import zinctrail.ctl.coord as coord
+import zinctrail.ctl.evacuations as evacuations
 import zinctrail.ctl.recovery as recovery
 import zinctrail.faults as faults
 import zinctrail.seam as seam
@@ -28,10 +29,13 @@
 
     def api_init(self):
         self.calls = {}
+        # Of calls that take several asks, one after another: what waits for the present one.
+        self.steps = {}
 
     def on_http(self, rid, call):
         def answer(res):
             # Why once: an ask may be answered after its caller was told that it wasn't.
+            self.steps.pop(answer, None)
             if self.calls.pop(rid, None):
                 self.out.append(outcome(rid, res))
 
@@ -57,7 +61,16 @@
         """The caller went away; what it asked for may still happen, but is not asked for again."""
         answer = self.calls.pop(rid, None)
         if answer is not None:
-            self.drop_ask(answer)
+            self.drop_ask(self.steps.pop(answer, answer))
+
+    def ask_step(self, answer, operation, args, told, wait):
+        """Ask the master for one step of a call; told(result) comes only while the caller waits."""
+        self.steps[answer] = told
+        self.ask(operation, args, told, wait)
+
+    def is_waiting(self, answer):
+        """Whether a call that is done in steps still has its caller."""
+        return answer in self.steps
 
     def ready(self):
         """(whether ready, why not)"""
@@ -93,7 +106,8 @@
     if status == 421:
         # Why not the promise for what may have been done by an earlier copy.
         status = 504 if res.get('unknown') else 503
-    if status in (409, 503, 504):
+    final = res.pop('final', False)
+    if status in (409, 503, 504) and not final:
         # Why a hint at once: a caller is told when to come back, never kept waiting for it.
         res.setdefault('retry_ms', 300)
         headers['retry-after'] = str(max(1, round(res['retry_ms'] / 1000)))
@@ -178,7 +192,7 @@
 @page('POST', '/v1/cell/empty')
 def cell_empty(m, call, body, answer):
     only(body, 'cell', 'on')
-    m.ask('cell.empty', body, answer)
+    evacuations.EvacuationCall(m, body, answer).start()
 
 
 @page('POST', '/v1/beat')
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -12,8 +12,10 @@
 import zinctrail.ctl.api as api
 import zinctrail.ctl.claims as claims
 import zinctrail.ctl.config as config
+import zinctrail.ctl.contents as contents
 import zinctrail.ctl.coord as coord
 import zinctrail.ctl.doubts as doubts
+import zinctrail.ctl.evacuations as evacuations
 import zinctrail.ctl.items as items
 import zinctrail.ctl.recovery as recovery
 import zinctrail.ctl.routes as routes
@@ -22,8 +24,6 @@
 import zinctrail.seam as seam
 
 STATES = ('ready', 'draining', 'leaving')
-# Taken for cold until two beats of its own have said otherwise.
-CHILLED = 2
 
 
 def check_beat(b):
@@ -176,6 +176,7 @@
             epoch = (txn.get('meta', 'epoch') or 0) + 1
             txn.put('meta', 'epoch', epoch)
             coord.forget(txn, epoch, self.bounds.epochs_kept)
+            contents.trim(txn)
             self.place_duties(txn)
             return {'status': 200}
 
@@ -258,7 +259,7 @@
                 if other != inc and there['addr'] == row['addr']:
                     self.gone(txn, other)
             new = row if seq is None else dict(row, seq=seq)
-            if old and old.get('chill') == CHILLED and seq is not None:
+            if old and old.get('chill') == evacuations.CHILLED and seq is not None:
                 # Why not by one beat: it may have been sent before the endpoint got cold.
                 new['chill'] = 1
             txn.put('endpoints', inc, old if says(old, row) else new)
@@ -581,27 +582,10 @@
         self.read(lambda txn: {'status': 200, 'items': items.read(txn), 'generation': txn.gen}, cb)
 
     def serve_empty(self, args, cb):
-        """Send nothing more to a cell's endpoints, or take that back; its proxies go on."""
-        cell, on = coord.text(args, 'cell', 300), args.get('on')
-        if not isinstance(on, bool):
-            raise faults.CallFault(400, 'on must be true or false')
+        self.submit(lambda txn: evacuations.apply(txn, args), cb)
 
-        def put(txn):
-            row = dict(txn.get('cells', cell) or {})
-            if bool(row.get('emptied')) == on:
-                return {'status': 200}
-            if on:
-                row['emptied'] = True
-            else:
-                del row['emptied']
-                for inc, end in txn.items('endpoints').items():
-                    if end['cell'] == cell and end.get('plain'):
-                        # Why: they may have got cold while nobody sent them anything; their next beats tell.
-                        txn.put('endpoints', inc, dict(end, chill=CHILLED))
-            txn.put('cells', cell, row)
-            return {'status': 200}
-
-        self.submit(put, cb)
+    def serve_cell_order(self, args, cb):
+        self.read(lambda view: evacuations.read_number(view, args), cb)
 
     def serve_watch(self, op, args, cb):
         wait = coord.whole(args, 'wait_ms', 0, 60000, 0)
@@ -647,7 +631,18 @@
 
 WATCHES = ('key.watch', 'cell.watch')
 # What changes nothing, however often it is done.
-READS = (*WATCHES, 'key.get', 'cell.get', 'lock.get', 'status', 'config.get', 'config.check', 'items.get', 'beat')
+READS = (
+    *WATCHES,
+    'key.get',
+    'cell.get',
+    'lock.get',
+    'status',
+    'config.get',
+    'config.check',
+    'items.get',
+    'cell.order',
+    'beat',
+)
 
 SERVES = {
     'beat': Core.serve_beat,
@@ -655,6 +650,7 @@
     'items.apply': Core.serve_items,
     'items.get': Core.serve_items_get,
     'cell.empty': Core.serve_empty,
+    'cell.order': Core.serve_cell_order,
     'config.apply': Core.serve_apply,
     'config.get': Core.serve_config,
     'config.check': Core.serve_check,
--- a/zinctrail/ctl/items.py
+++ b/zinctrail/ctl/items.py
@@ -10,11 +10,14 @@
 
 For each name the highest version holds, whether it sets or drops; a lower or
 an equal one changes nothing. What was dropped is kept as a mark, so that an
-older copy can't bring it back. Fields that nobody here knows are kept as they
-came and read back with the rest.
+older copy can't bring it back. A version belongs to the content that was
+acknowledged under it: another one is refused (409), the same one acknowledged
+again. Fields that nobody here knows are kept as they came and read back with
+the rest.
 """
 
 import zinctrail.ctl.config as config
+import zinctrail.ctl.contents as contents
 import zinctrail.faults as faults
 
 LISTS = ('rules', 'pools')
@@ -24,26 +27,21 @@
 AIM_OVER_MS = 60000
 VERSION_MOST = 1 << 53
 MS_MOST = 86400000
+# How many items a refusal names.
+FAULTS_TOLD_MOST = 100
 
 
-def check(doc, pools=None):
-    """All faults of a change, as (path, text). `pools`: the names that stand besides; None: any will do."""
+def check(doc, references=None):
+    """All faults of a change, as (path, text). `references`: the References of rules; None: any pool will do."""
     r = config.Reader()
     if not r.fields('$', doc, ('set', 'drop')):
         return r.faults
     sets, drops = doc.get('set', {}), doc.get('drop', {})
-    known = set(pools or ())
     if r.fields('$.set', sets, LISTS + (LIMITS,)):
-        rows = sets.get('pools', [])
-        known |= (
-            {p['name'] for p in rows if isinstance(p, dict) and isinstance(p.get('name'), str)}
-            if isinstance(rows, list)
-            else set()
-        )
         for part in LISTS:
             for path, row in listed(r, f'$.set.{part}', sets.get(part, [])):
                 named(r, path, row)
-                CHECKS[part](r, path, row, known if pools is not None else None)
+                CHECKS[part](r, path, row, references)
         if LIMITS in sets and r.fields('$.set.limits', sets[LIMITS], sets[LIMITS] or (), ('version',)):
             r.number('$.set.limits.version', sets[LIMITS].get('version'), 0, VERSION_MOST)
             for k in ('header_bytes', 'body_bytes', 'header_ms', 'idle_ms'):
@@ -72,7 +70,7 @@
     r.number(f'{path}.version', row.get('version'), 0, VERSION_MOST)
 
 
-def _rule(r, path, row, pools):
+def _rule(r, path, row, references):
     if not isinstance(row.get('host'), str) or not row['host']:
         r.fault(f'{path}.host', 'must be a text that is not empty')
     prefix = row.get('prefix')
@@ -94,11 +92,11 @@
     if ('pool' in row) == ('shares' in row):
         r.fault(path, 'must have either pool or shares')
     elif 'pool' in row:
-        _known(r, f'{path}.pool', row['pool'], pools)
+        _known(r, f'{path}.pool', row['pool'], row, references)
     else:
         weight = 0
         for at, share in listed(r, f'{path}.shares', row['shares']):
-            _known(r, f'{at}.pool', share.get('pool'), pools)
+            _known(r, f'{at}.pool', share.get('pool'), row, references)
             w = share.get('weight')
             if isinstance(w, bool) or not isinstance(w, (int, float)) or not 0 <= w <= 1e9:
                 r.fault(f'{at}.weight', 'must be a number, 0 or more')
@@ -108,12 +106,13 @@
             r.fault(f'{path}.shares', 'must have a weight above zero')
 
 
-def _known(r, path, pool, pools):
-    if not isinstance(pool, str) or not pool or (pools is not None and pool not in pools):
+def _known(r, path, pool, rule, references):
+    is_name = isinstance(pool, str) and bool(pool)
+    if not is_name or (references is not None and not references.allows(rule, pool)):
         r.fault(path, f'names no pool: {pool!r:.60}')
 
 
-def _pool(r, path, row, pools):
+def _pool(r, path, row, references):
     if 'health' in row and (not isinstance(row['health'], str) or not row['health'].startswith('/')):
         r.fault(f'{path}.health', 'must be a path')
     if 'connections' in row:
@@ -137,22 +136,116 @@
     return out
 
 
+class References:
+    """Which pools the rules of a change may name.
+
+    A rule that comes into force must name a pool that stands once the change is
+    in force. One that changes nothing was perhaps taken before, when its pool
+    stood: it may name any pool that ever did, so that a change that was taken
+    is acknowledged again whatever was dropped since.
+    """
+
+    def __init__(self, txn, doc):
+        self.txn = txn
+        # What the change itself says of pools: {name: (highest version, whether that one sets)}.
+        self.newest = {}
+        for part, sets in (('set', True), ('drop', False)):
+            for row in _rows(doc, part, 'pools'):
+                self._add(row.get('name'), row.get('version'), sets)
+
+    def _add(self, name, version, sets):
+        if not isinstance(name, str) or not _is_version(version):
+            return
+        if name not in self.newest or version > self.newest[name][0]:
+            self.newest[name] = (version, sets)
+
+    def allows(self, rule, pool):
+        if self._changes(rule):
+            return self._will_stand(pool)
+        return pool in self.newest or self.txn.get('items', f'pools/{pool}') is not None
+
+    def _changes(self, rule):
+        name, version = rule.get('name'), rule.get('version')
+        if not isinstance(name, str) or not _is_version(version):
+            return True
+        item = self.txn.get('items', f'rules/{name}')
+        return item is None or version > item['v']
+
+    def _will_stand(self, pool):
+        item = self.txn.get('items', f'pools/{pool}')
+        version, sets = self.newest.get(pool, (-1, False))
+        if item is not None and item['v'] >= version:
+            return item['row'] is not None
+        return sets
+
+
+def _rows(doc, part, kind):
+    """The objects of one list of a change that may be malformed."""
+    lists = doc.get(part) if isinstance(doc, dict) else None
+    rows = lists.get(kind) if isinstance(lists, dict) else None
+    return [row for row in rows if isinstance(row, dict)] if isinstance(rows, list) else []
+
+
+def _is_version(value):
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
 def apply(txn, doc):
     """Within a transaction: all of the change or nothing of it."""
-    here = txn.items('items')
-    pools = {k[6:] for k, item in here.items() if k.startswith('pools/') and item['row'] is not None}
-    bad = check(doc, pools)
+    bad = check(doc, References(txn, doc))
     if bad:
-        raise faults.CallFault(400, 'invalid change', faults=[{'path': p, 'fault': t} for p, t in bad[:100]])
-    took = 0
+        raise faults.CallFault(
+            400, 'invalid change', faults=[{'path': p, 'fault': t} for p, t in bad[:FAULTS_TOLD_MOST]]
+        )
+    contents.begin(txn)
+    took, conflicts = 0, []
     for key, version, row in flat(doc):
         old = txn.get('items', key)
-        if old is None or version > old['v']:
-            txn.put('items', key, {'v': version, 'row': row})
-            took += 1
+        if old is not None and version <= old['v']:
+            if not _acknowledge(txn, key, version, row, old):
+                conflicts.append(_conflict(key, version, old))
+            continue
+        if old is not None:
+            contents.remember(txn, key, old['v'], contents.digest(old['row']))
+        txn.put('items', key, {'v': version, 'row': row})
+        took += 1
+    if conflicts:
+        raise _held(conflicts)
     return {'status': 200, 'took': took, 'generation': txn.gen}
 
 
+def _acknowledge(txn, key, version, row, standing):
+    """Whether an item that changes nothing may be acknowledged: its version is not another content's."""
+    content = contents.digest(row)
+    if version == standing['v']:
+        return content == contents.digest(standing['row'])
+    known = contents.remembered(txn, key, version)
+    if known is None and contents.is_complete(txn):
+        # Nobody was ever acknowledged under this version: from now on it is this content's.
+        contents.remember(txn, key, version, content)
+    return known in (None, content)
+
+
+def _conflict(key, version, standing):
+    part, _, name = key.partition('/')
+    return {'part': part, 'name': name, 'version': version, 'standing': standing['v']}
+
+
+def _held(conflicts):
+    """The refusal of a change that gives acknowledged versions other contents; it stays refused."""
+    described = [
+        {'path': f'{c["part"]}/{c["name"]}', 'fault': f'version {c["version"]} is held by another content'}
+        for c in conflicts[:FAULTS_TOLD_MOST]
+    ]
+    return faults.CallFault(
+        409,
+        f'{len(conflicts)} item(s) with versions that are held by other contents',
+        faults=described,
+        held=conflicts[:FAULTS_TOLD_MOST],
+        final=True,
+    )
+
+
 def read(txn):
     """All items that stand, laid out as the `set` of a change."""
     out = {part: [] for part in LISTS}
