--- /dev/null
+++ b/features/steps/orders_steps.py
@@ -0,0 +1,409 @@
+import json
+
+import behave
+
+import control_steps
+import zinctrail.agree.journal as journal
+import zinctrail.agree.replica as replica
+import zinctrail.agree.transactions as transactions
+import zinctrail.ctl.contents as contents
+import zinctrail.ctl.core as core
+import zinctrail.ctl.items as items
+import zinctrail.seam as seam
+import zinctrail.sim.open_cast as open_cast
+import zinctrail.sim.orders as orders
+
+ms = seam.ms
+CELL = 'r0/c0'
+# How long a condition may take to come about, and how long an operator waits for an answer.
+RUN_MOST = ms(20000)
+PATIENCE = ms(1000)
+
+
+class Store:
+    """The replicated state of items, its files, and changes made in it."""
+
+    def __init__(self):
+        self.rep = replica.Replica()
+        self.files = {
+            'node': journal.enc({'id': 'a', 'format': journal.FORMAT}),
+            'term': journal.enc({'term': 1, 'vote': None}),
+        }
+
+    def run(self, step):
+        at = (1, self.rep.accepted[1] + 1)
+        txn = transactions.Txn(self.rep, at, ms(0))
+        result = txn.run(step)
+        rows = txn.rows()
+        if rows:
+            doc = {'term': at[0], 'gen': at[1], 'base': self.rep.accepted, 'rows': rows}
+            self.files[journal.gen_name(at)] = journal.enc(doc)
+            self.rep.accept(at, rows=json.loads(json.dumps(rows)))
+            self.rep.commit(at)
+        return result
+
+    def change(self, text):
+        return self.run(lambda txn: items.apply(txn, change_of(text)))
+
+    def epoch(self):
+        def step(txn):
+            txn.put('meta', 'epoch', (txn.get('meta', 'epoch') or 0) + 1)
+            contents.trim(txn)
+            return {'status': 200}
+
+        self.run(step)
+
+    def event(self, text):
+        if text in EVENTS:
+            EVENTS[text](self)
+        else:
+            assert self.change(text)['status'] == 200, text
+
+    def checkpoint(self):
+        at = self.rep.accepted
+        doc = {'term': at[0], 'gen': at[1], 'tables': self.rep.whole()}
+        self.files = {name: text for name, text in self.files.items() if not name.startswith('gen-')}
+        self.files[journal.ckpt_name(at)] = journal.enc(doc)
+
+    def restart(self):
+        self.rep = journal.load(self.files)[4]
+        self.rep.commit(self.rep.accepted)
+
+    def snapshot(self):
+        """A newcomer is sent everything, and goes on in our place."""
+        whole = json.loads(json.dumps(self.rep.whole()))
+        newcomer = replica.Replica()
+        newcomer.accept(self.rep.accepted, full=whole)
+        newcomer.commit(self.rep.accepted)
+        self.rep = newcomer
+        self.checkpoint()
+
+    def old_disk(self):
+        """The files as the release before wrote them: items, and nothing else that is known of them."""
+        self.rep.tables.pop(contents.TABLE)
+        self.checkpoint()
+        self.restart()
+
+    def standing(self, key):
+        return self.rep.get('items', key)
+
+    def read(self):
+        return items.read(transactions.View(self.rep, self.rep.committed, ms(0)))
+
+
+EVENTS = {
+    'none': lambda store: None,
+    'restart': Store.restart,
+    'checkpoint': Store.checkpoint,
+    'snapshot': Store.snapshot,
+    'old disk': Store.old_disk,
+}
+PARTS = {'r': 'rules', 'p': 'pools', 'q': 'pools'}
+
+
+def rule(name, version, letter, pool):
+    return {
+        'name': name,
+        'version': version,
+        'host': 'h',
+        'prefix': f'/{name}/',
+        'once': False,
+        'timeout_ms': 1000 + ord(letter),
+        'pool': pool,
+    }
+
+
+def change_of(text):
+    """NAME:VERSION=LETTER>POOL sets a rule, NAME:VERSION=LETTER a pool or the limits, NAME:VERSION- drops."""
+    sets, drops = {'rules': [], 'pools': []}, {'rules': [], 'pools': []}
+    for word in text.split(' + '):
+        name, _, rest = word.partition(':')
+        part = PARTS.get(name[0])
+        if rest.endswith('-'):
+            drops[part].append({'name': name, 'version': int(rest[:-1])})
+            continue
+        version, _, content = rest.partition('=')
+        letter, _, pool = content.partition('>')
+        if name == 'limits':
+            sets['limits'] = {'version': int(version), 'idle_ms': 1000 + ord(letter)}
+        elif part == 'pools':
+            sets['pools'].append({'name': name, 'version': int(version), 'connections': ord(letter or 'a')})
+        else:
+            sets['rules'].append(rule(name, int(version), letter, pool))
+    return {'set': sets, 'drop': drops}
+
+
+def named(result):
+    return ', '.join(f'{row["name"] or row["part"]}:{row["version"]}' for row in result.get('held', ())) or 'nothing'
+
+
+@behave.given('a store of items whose first change sets p:1 and r1:3=a>p')
+def _(context):
+    context.store = Store()
+    context.store.event('p:1 + r1:3=a>p')
+
+
+@behave.when('the changes {changes} are made')
+def _(context, changes):
+    for text in changes.split(', '):
+        context.store.event(text)
+
+
+@behave.when('the change {text} is asked for')
+def _(context, text):
+    context.before = context.store.rep.whole()
+    context.result = context.store.change(text)
+
+
+@behave.then('it gets {status:d} and r1 stands as {stands}, read back so')
+def _(context, status, stands):
+    assert context.result['status'] == status, context.result
+    item = context.store.standing('rules/r1')
+    read = [row for row in context.store.read()['rules'] if row['name'] == 'r1']
+    want = change_of(f'r1:{stands}')
+    assert read == want['set']['rules'], read
+    assert item['v'] == (read or want['drop']['rules'])[0]['version'], item
+
+
+@behave.then('a refusal names {names}, and nothing of the call was taken')
+def _(context, names):
+    assert named(context.result) == names, context.result
+    if context.result['status'] != 200:
+        assert context.store.rep.whole() == context.before
+
+
+@behave.then('the changes {changes} are each acknowledged and change nothing')
+def _(context, changes):
+    before = context.store.rep.get('items')
+    for text in changes.split(', '):
+        result = context.store.change(text)
+        assert result['status'] == 200 and not result['took'], (text, result)
+    assert context.store.rep.get('items') == before
+
+
+@behave.then('the changes {changes} are each refused with 409')
+def _(context, changes):
+    before = context.store.rep.whole()
+    for text in changes.split(', '):
+        result = context.store.change(text)
+        assert result['status'] == 409, (text, result)
+    assert context.store.rep.whole() == before
+
+
+@behave.when('the changes {changes} are made, with room for {most:d} digests')
+def _(context, changes, most):
+    was, contents.DIGESTS_MOST = contents.DIGESTS_MOST, most
+    context.add_cleanup(setattr, contents, 'DIGESTS_MOST', was)
+    for text in changes.split(', '):
+        context.store.event(text)
+
+
+@behave.when('an epoch later r1 goes on to 6, 7 and 8, and an epoch passes')
+def _(context):
+    context.store.epoch()
+    for version in (6, 7, 8):
+        context.store.event(f'r1:{version}=a>p')
+    context.store.epoch()
+
+
+@behave.then('{count:d} digests are kept, those of 6 and 7')
+def _(context, count):
+    kept = sorted(key for key in context.store.rep.get(contents.TABLE) if key != contents.COMPLETE)
+    assert kept == ['6/rules/r1', '7/rules/r1'] and len(kept) == count, kept
+
+
+@behave.then('contents of a rule with x of {one} and of {other} are {same}')
+def _(context, one, other, same):
+    digests = {contents.digest({'name': 'r', 'x': json.loads(text)}) for text in (one, other)}
+    assert len(digests) == (1 if same == 'one' else 2), digests
+
+
+# -- in a simulated deployment ---------------------------------------------------
+
+
+def start_core(context):
+    shape = open_cast.SHAPES['small']
+    context.w = open_cast.World(5, open_cast.bound(shape))
+    context.w.hang_ups = True
+    context.cast = open_cast.Cast(context.w, shape)
+    context.cast.start()
+
+
+def run_until(context, condition, most=RUN_MOST):
+    assert context.w.run(most, condition), 'did not come about'
+
+
+def followers(context):
+    return [node for node in context.w.of('core') if node is not context.w.master()]
+
+
+def order_cell(context, node, on, wait=PATIENCE):
+    """Where the status will be put."""
+    got = []
+    raw = json.dumps({'cell': CELL, 'on': on}).encode()
+    answer = context.w.fetch('operator', node.place.http, 'POST', '/v1/cell/empty', {}, raw, wait)
+    answer.addCallback(lambda res: got.append(0 if res.fault else res.status))
+    return got
+
+
+def is_emptied(context, cell=CELL):
+    return bool((context.w.master().machine.rep.get('cells', cell) or {}).get('emptied'))
+
+
+def acknowledged(context, node, on):
+    got = order_cell(context, node, on, ms(5000))
+    run_until(context, lambda: bool(got))
+    assert got == [200], got
+    assert is_emptied(context) == on
+
+
+@behave.given('a small core of open traffic')
+def _(context):
+    start_core(context)
+
+
+@behave.when('r-search is changed three times')
+def _(context):
+    rule_ = context.cast.rules['r-search']
+    for _ in range(3):
+        got = []
+        row = dict(rule_, version=context.cast.next_version())
+        context.cast.set_rules([row], cb=got.append)
+        run_until(context, lambda got=got: bool(got))
+        assert got == [200], got
+    context.w.run(ms(2000))
+
+
+@behave.then('every voter holds digests, every proxy holds none, and a read-back shows none')
+def _(context):
+    tables = {node.name: node.machine.rep.get(contents.TABLE) for node in context.w.nodes.values()}
+    digests = {row[0] for row in tables['core0'].values() if isinstance(row, list)}
+    assert len(digests) == 3, digests
+    assert all(bool(rows) == name.startswith('core') for name, rows in tables.items()), tables
+    got = []
+    context.cast.op.read(got.append)
+    run_until(context, lambda: bool(got))
+    assert got[0]['items']['rules'] and not any(digest in json.dumps(got) for digest in digests), got
+
+
+@behave.given('operators at work while the core fails, seed {seed:d}')
+def _(context, seed):
+    context.run = orders.Run(seed).run()
+
+
+@behave.then('no version was acknowledged with two contents, no taken order refused, and all is read back')
+def _(context):
+    assert context.run.violations == [], context.run.violations
+
+
+@behave.then('there were refusals by 409, and {most:d} or more orders at once')
+def _(context, most):
+    statuses = [status for order in context.run.orders for _, _, status in order.answers]
+    assert 409 in statuses and 200 in statuses, statuses
+    assert context.run.most_under_way >= most, context.run.most_under_way
+
+
+# -- evacuations -----------------------------------------------------------------
+
+
+@behave.given('a serving control node with cell orders')
+def _(context):
+    context.node = control_steps.Node()
+    context.node.serve()
+
+
+@behave.when('its cell gets {steps}')
+def _(context, steps):
+    context.answers = []
+    for words in (text.split() for text in steps.split(', ')):
+        if words == ['new', 'master']:
+            control_steps.new_master(context.node)
+            continue
+        args = {'cell': CELL, 'on': words[0] == 'on'}
+        if len(words) == 2:
+            name, number = words[1].split(':')
+            args.update(id=name, number=int(number))
+        context.answers.append(context.node.do('cell.empty', **args)['status'])
+
+
+@behave.then('the cell is {left} and the answers were {answers}')
+def _(context, left, answers):
+    assert ', '.join(str(status) for status in context.answers) == answers, context.answers
+    row = context.node.m.rep.latest('cells', CELL) or {}
+    assert bool(row.get('emptied')) == (left == 'emptied'), row
+
+
+def hold_frames(context, node, length):
+    """What a node asks of a master in place of reads comes `length` later, as by a connection that stalls."""
+    carry = context.w.carry
+
+    def late(src, addr, msg):
+        if src is node and msg['t'] == 'ask' and msg['op'] == 'cell.empty':
+            context.held += 1
+            context.w.after(length, carry, src, addr, msg)
+        else:
+            carry(src, addr, msg)
+
+    context.held = 0
+    context.w.carry = late
+
+
+@behave.when('an evacuation is held up {where}, its caller goes, and {after} is acknowledged elsewhere')
+def _(context, where, after):
+    node, other = followers(context)[:2]
+    if where == 'at the master, frozen':
+        node = context.w.master()
+    if 'frozen' in where:
+        node.pause(ms(6000))
+    else:
+        hold_frames(context, node, ms(3000))
+    got = order_cell(context, node, True, ms(800))
+    run_until(context, lambda: bool(got))
+    assert got == [0], got
+    if after == 'an evacuation and withdrawal':
+        acknowledged(context, other, True)
+    acknowledged(context, other, False)
+    context.w.run(ms(8000))
+    assert 'frozen' in where or context.held, 'nothing was held up'
+
+
+@behave.then('the cell is as {after} left it once the copy has come')
+def _(context, after):
+    assert not is_emptied(context)
+
+
+@behave.when('eight evacuations of a cell and eight of another are asked for at once, at all nodes')
+def _(context):
+    nodes = context.w.of('core')
+    context.got, context.both = [], context.cast.cells[:2]
+    for n in range(16):
+        raw = json.dumps({'cell': context.both[n % 2], 'on': True}).encode()
+        place = nodes[n % len(nodes)].place
+        answer = context.w.fetch(f'operator{n}', place.http, 'POST', '/v1/cell/empty', {}, raw, ms(1000))
+        answer.addCallback(lambda res: context.got.append(res.status))
+    run_until(context, lambda: len(context.got) == 16)
+
+
+@behave.then('each is acknowledged and both cells are emptied')
+def _(context):
+    assert context.got == [200] * 16, context.got
+    assert all(is_emptied(context, cell) for cell in context.both)
+
+
+@behave.given('a small core of open traffic whose master knows no cell orders')
+def _(context):
+    start_core(context)
+    serve = core.SERVES.pop('cell.order')
+    context.add_cleanup(core.SERVES.__setitem__, 'cell.order', serve)
+
+
+@behave.when('a cell is evacuated through another node')
+def _(context):
+    context.got = order_cell(context, followers(context)[0], True)
+    run_until(context, lambda: bool(context.got))
+
+
+@behave.then('it is acknowledged and the cell is emptied')
+def _(context):
+    assert context.got == [200], context.got
+    assert is_emptied(context)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -146,7 +146,9 @@
     assert [str(a.status) for a in context.answers] == statuses.split(', '), context.answers
 
 
-@behave.then('its refusal names {name} of {part} at {version:d}, below {standing:d} that stands, and no time to come back')
+@behave.then(
+    'its refusal names {name} of {part} at {version:d}, below {standing:d} that stands, and no time to come back'
+)
 def _(context, name, part, version, standing):
     (got,) = context.answers
     named = {'list': part, 'name': name, 'version_number': version, 'standing_version_number': standing}
