--- a/zinctrail/sim/open_checks.py
+++ b/zinctrail/sim/open_checks.py
@@ -267,11 +267,40 @@
     for c in cast.notes.changes:
         if c.get('invalid') and c['status'] == 200:
             out.append(f'{c["key"]} {c["v"]} is invalid and was acknowledged')
-        if not c.get('invalid') and c['status'] in (400, 409, 413, 422):
+        if not c.get('invalid') and c['status'] in (400, 409, 413, 422) and not _is_contested(cast, c):
             out.append(f'{c["key"]} {c["v"]} is valid and got {c["status"]}')
     return out
 
 
+def _is_contested(cast, refused):
+    """Whether a 409 is right: an item of the call has a version under which another content was sent."""
+    items = [c for c in cast.notes.changes if c['order'] is refused['order']]
+    contents = {(c['key'], c['v']): c['row'] for c in items}
+    return refused['status'] == 409 and any(
+        contents.get((c['key'], c['v']), c['row']) != c['row'] and c['status'] not in (400, 409)
+        for c in cast.notes.changes
+    )
+
+
+@check('config-one')
+def config_one(cast):
+    """Two contents are acknowledged under one version of an item, or a content that was acknowledged is refused."""
+    out = []
+    versions = collections.defaultdict(list)
+    orders = collections.defaultdict(list)
+    for c in cast.notes.changes:
+        if c['status'] == 200 and c['row'] not in versions[c['key'], c['v']]:
+            versions[c['key'], c['v']].append(c['row'])
+        orders[id(c['order'])].append(c)
+    for (key, version), rows in versions.items():
+        if len(rows) > 1:
+            out.append(f'{key} {version}: {len(rows)} contents were acknowledged')
+    said = collections.defaultdict(set)
+    for rows in orders.values():
+        said[str([(c['key'], c['v'], c['row']) for c in rows])].add(rows[0]['status'])
+    return out + [f'{items}: acknowledged and refused' for items, all_ in said.items() if {200, 409} <= all_]
+
+
 @check('config-kept')
 def config_kept(cast):
     """Read back: each item as the newest acknowledged version or a newer one that was sent, whole."""
@@ -323,8 +352,9 @@
 def acks(cast):
     """A proper order without an acknowledgement while the core was settled."""
     out, leaves, leaves_late = [], 0, 0
+    contested = {id(c['order']) for c in cast.notes.changes if c['status'] == 409 and _is_contested(cast, c)}
     for o in cast.notes.orders:
-        if o.get('invalid'):
+        if o.get('invalid') or id(o) in contested:
             continue
         until = o['t0'] + T['ack'] + ms(3) * o['size']
         end = o['t'] if o['status'] == 200 else cast.world.now
--- a/zinctrail/sim/open_days.py
+++ b/zinctrail/sim/open_days.py
@@ -535,7 +535,7 @@
     row = {k: v for k, v in rule.items() if k not in ('lively',) and (k != 'pool' or 'shares' not in more)}
     if 'pool' in more:
         row.pop('shares', None)
-    return dict(row, version=day.cast.next_version(), **more)
+    return {**row, 'version': day.cast.next_version(), **more}
 
 
 def _other(day, rule):
@@ -619,6 +619,36 @@
     day.later(ms(900), day.cast.set_rules, [copy.deepcopy(one)], (), open_cast.Operator(day.cast, 'op2'))
 
 
+@fault
+def config_one_number(day):
+    """Two operators give one rule different contents under the same version, through two nodes, and send again."""
+    for i in range(3):
+        day.later(ms(1500) * i, _one_number, day)
+    return ms(6500)
+
+
+def _one_number(day):
+    rule = day.a_rule()
+    one = _changed(day, rule, pool=_other(day, rule))
+    other = dict(one, timeout_ms=one['timeout_ms'] + 50)
+    for n, row in enumerate((one, other)):
+        operator = open_cast.Operator(day.cast, f'op{n}')
+        day.cast.set_rules([row], op=operator)
+        # The same order at a second node at the same time, and once more later.
+        day.cast.set_rules([copy.deepcopy(row)], op=operator)
+        day.later(ms(1200), day.cast.set_rules, [copy.deepcopy(row)], (), operator)
+
+
+@fault
+def ack_lost(day):
+    """Most acknowledgements to operators are lost; they send the same again, to other nodes."""
+    for who in ('op', 'op0', 'op1', 'op2'):
+        day.world.reply_loss[who] = 0.7
+        day.later(ms(7000), day.world.reply_loss.pop, who, None)
+    change_timeout(day)
+    return ms(8000)
+
+
 @fault
 def bad_config(day):
     for i in range(4):
@@ -636,6 +666,8 @@
         'no_host': {'host': ''},
         'no_weight': {'shares': [{'pool': 'search', 'weight': 0}]},
         'no_timeout': {'timeout_ms': 0},
+        # Another content under a version that was acknowledged.
+        'same_version': {'timeout_ms': rule['timeout_ms'] + 7, 'version': rule['version']},
     }
     how = day.rng.choice([*sorted(hows), 'cut_short'])
     bad = _changed(day, rule, **hows.get(how, {}))
