--- a/features/orders.feature
+++ b/features/orders.feature
@@ -93,6 +93,8 @@
       | 3           | 3.0         | one       |
       | 3           | 3.5         | different |
       | 1           | true        | different |
+      | {"a":[0]}   | {"a":[false]} | different |
+      | NaN         | NaN         | one       |
       | "3"         | 3           | different |
       | {"a":1,"b":2} | {"b":2,"a":1.0} | one   |
       | [1,2]       | [2,1]       | different |
--- a/features/platform_chain.feature
+++ b/features/platform_chain.feature
@@ -184,6 +184,8 @@
     And the platform's operator reads them in its own words
     When the file is applied again, and an older one
     Then nothing was taken, and that is told
+    When a file with another content under its version is applied
+    Then it ends with 3 and names the item, and nothing was changed
     When a file with three faults is applied
     Then it ends with 1 and tells each with its path, and nothing was changed
     When the item is dropped by ztctl
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -214,8 +214,9 @@
 
 @behave.then('contents of a rule with x of {one} and of {other} are {same}')
 def _(context, one, other, same):
-    digests = {contents.digest({'name': 'r', 'x': json.loads(text)}) for text in (one, other)}
-    assert len(digests) == (1 if same == 'one' else 2), digests
+    rows = [{'name': 'r', 'x': json.loads(text)} for text in (one, other)]
+    assert len({contents.digest(row) for row in rows}) == (1 if same == 'one' else 2), rows
+    assert contents.same(*rows) == (same == 'one'), rows
 
 
 # -- in a simulated deployment ---------------------------------------------------
--- a/features/steps/platform_chain_steps.py
+++ b/features/steps/platform_chain_steps.py
@@ -688,6 +688,19 @@
     assert [t[:2] for t in context.told] == [(0, 'took 0: all of it is there, or overtaken\n')] * 2, context.told
 
 
+@behave.when('a file with another content under its version is applied')
+def _(context):
+    context.before = ztctl('items', 'get')
+    context.told = ztctl('items', 'apply', '-', stdin=json.dumps(own_rule(7, timeout_ms=8999)))
+
+
+@behave.then('it ends with 3 and names the item, and nothing was changed')
+def _(context):
+    code, _, err = context.told
+    assert code == 3 and 'rules/by-hand: version 7 is held by another content' in err, context.told
+    assert ztctl('items', 'get') == context.before
+
+
 @behave.when('a file with three faults is applied')
 def _(context):
     context.before = ztctl('items', 'get')
--- a/zinctrail/ctl/contents.py
+++ b/zinctrail/ctl/contents.py
@@ -9,13 +9,15 @@
 no acknowledged content can be missing, and the number is surely free.
 """
 
+import base64
 import hashlib
 import json
 
 TABLE = 'contents'
 # Whether every content that was ever acknowledged is remembered; absent in states of earlier releases.
 COMPLETE = 'complete'
-DIGEST_BYTES = 16
+# A multiple of three, so that its text has no padding; each change of an item carries one to every voter.
+DIGEST_BYTES = 12
 # A day holds hundreds of changes, most of a few items; this many digests are about 1 MB of state.
 DIGESTS_MOST = 16384
 
@@ -23,7 +25,24 @@
 def digest(row):
     """The digest of an item's content; None, a drop, is a content as well."""
     text = json.dumps(_canonical(row), sort_keys=True, separators=(',', ':'))
-    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+    made = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return base64.urlsafe_b64encode(made).decode()
+
+
+def same(one, other):
+    """Whether two contents are one; most are compared without a digest, as calls of many items come again."""
+    if one == other and _same_kinds(one, other):
+        return True
+    return digest(one) == digest(other)
+
+
+def _same_kinds(one, other):
+    """Whether no truth value of equal contents stands for a number: Python takes True for 1."""
+    if isinstance(one, dict):
+        return all(_same_kinds(value, other[key]) for key, value in one.items())
+    if isinstance(one, list):
+        return all(map(_same_kinds, one, other))
+    return isinstance(one, bool) == isinstance(other, bool)
 
 
 def _canonical(value):
--- a/zinctrail/ctl/items.py
+++ b/zinctrail/ctl/items.py
@@ -216,9 +216,9 @@
 
 def _acknowledge(txn, key, version, row, standing):
     """Whether an item that changes nothing may be acknowledged: its version is not another content's."""
-    content = contents.digest(row)
     if version == standing['v']:
-        return content == contents.digest(standing['row'])
+        return contents.same(row, standing['row'])
+    content = contents.digest(row)
     known = contents.remembered(txn, key, version)
     if known is None and contents.is_complete(txn):
         # Nobody was ever acknowledged under this version: from now on it is this content's.
