A control node out of touch with a majority answers its callers at once

Cause: a master whose rounds no quorum answers kept reads and changes until it stepped down 1.2 to 1.6 s later; a follower of a silent master passed calls on to it; a node without a master kept calls for 600 ms. Callers leave after a second of silence.

Change: agree/contact.py. Overdue are a round unanswered for 500 ms, a heartbeat 300 ms late, an election of 300 ms. Reads and changes never published are refused (503), what was put to a master or published is told as unknown (504); proxies and directories, which wait by themselves, still get 421 and put the call to the next master. Nothing is published meanwhile.

Two rows of control.feature held the old 600 ms and a silence of 3 s for what was put to a lost master; they now hold 300 ms each, on both sides of the bound.

--- a/features/control.feature
+++ b/features/control.feature
@@ -30,15 +30,15 @@
     Then the caller is told <told>
     Examples:
       | ms   | more | told    |
-      | 100  | 300  | nothing |
-      | 100  | 600  | 503     |
+      | 100  | 190  | nothing |
+      | 100  | 210  | 503     |
       | 1000 | 10   | 503     |
 
   Scenario: What was put to a master that is lost is not called refused
     Given a control node that follows b
-    When a caller asks for a number, b is lost, and 2000 ms go by
+    When a caller asks for a number, b is lost, and 290 ms go by
     Then the caller is told nothing
-    And 1500 ms later the caller is told 504
+    And 20 ms later the caller is told 504
 
   Scenario: What nobody waits for any more is not put to the next master
     Given a control node that follows b
--- a/zinctrail/agree/asks.py
+++ b/zinctrail/agree/asks.py
@@ -14,7 +14,7 @@
 
     def ask(self, op, args, cb, wait=None):
         if self.mode == 'leader':
-            self.serve(op, args, cb)
+            self.serve_call(op, args, cb)
         else:
             super().ask(op, args, cb, wait)
 
@@ -30,6 +30,9 @@
             self.tell(addr, 'ask_re', key=key, result=self.told[key][1])
             return
         self.asked.add(key)
+        peer = self.peers.get(env['f'])
+        # Proxies and directories put what was refused to the next master; callers of control nodes don't wait so long.
+        patient = peer is None or peer.role != 'core'
 
         def done(res):
             self.asked.discard(key)
@@ -40,7 +43,7 @@
                     self.told.popitem(last=False)
             self.tell(addr, 'ask_re', key=key, result=res)
 
-        self.serve(env['op'], env['args'], done)
+        self.serve_call(env['op'], env['args'], done, patient)
 
     def acts(self, op):
         """For the role: whether doing it twice differs from doing it once."""
--- /dev/null
+++ b/zinctrail/agree/contact.py
@@ -0,0 +1,193 @@
+"""Whether a control node is in touch with a majority, and what its callers are told while it isn't.
+
+Callers give a node about a second before they turn to another one. A node that
+can't reach a majority answers them sooner, so that they lose as little as
+possible: 503 for what surely wasn't done, 504 for what may have been. It answers
+after it noticed, and never by a guess: an ordinary election doesn't count.
+"""
+
+import zinctrail.agree.outcomes as outcomes
+import zinctrail.seam as seam
+
+# A heartbeat round that no quorum answered for so long means that the master lost its quorum. Well above a
+# round trip between regions; below the second that callers wait.
+ROUND_OVERDUE = seam.ms(500)
+# How late a master's heartbeat may be before its followers stop relying on it.
+HEARTBEAT_OVERDUE = seam.ms(300)
+# How long a node without a master waits for an election before it turns callers away.
+ELECTION_OVERDUE = seam.ms(300)
+RETRY_MS = 300
+NO_CONTACT = {'status': 503, 'fault': 'out of touch with a majority', 'retry_ms': RETRY_MS}
+
+
+class Contact:
+    """Answers callers of a control node that is out of touch with a majority.
+
+    The voter that mixes this in provides its mode, its rounds, its fences, its
+    tasks and its asks.
+    """
+
+    election_wait = ELECTION_OVERDUE
+
+    def contact_init(self):
+        # Calls a master works on, by number: (operation, callback). Answered once, whoever comes first.
+        self.open_calls = {}
+        self.call_number = 0
+        # Calls that came while out of touch: (operation, arguments, callback).
+        self.held_calls = []
+        self.contact_due = seam.ZERO
+
+    # -- noticing ---------------------------------------------------------
+
+    def out_of_touch(self):
+        """Whether no majority is known to be reached any more."""
+        if self.mode == 'leader':
+            return self.round_overdue()
+        if self.mode == 'follower':
+            return self.now - self.heard_at >= self.bounds.check + HEARTBEAT_OVERDUE
+        return self.now - self.alone_since >= self.election_wait
+
+    def round_overdue(self):
+        oldest = self.rounds.get(self.quorum_round + 1)
+        if oldest is not None and self.now - oldest['start'] >= ROUND_OVERDUE:
+            return True
+        # A process that was suspended may have begun no round for a long time.
+        return self.now - self.quorum_at >= self.bounds.check + ROUND_OVERDUE
+
+    def watch_contact(self):
+        """Have alarm_contact come when contact would be found lost, if nothing is heard until then."""
+        if 'contact' not in self.alarms:
+            self.set_contact_alarm(max(self.contact_deadline(), self.now + self.bounds.gather))
+
+    def contact_deadline(self):
+        if self.mode == 'leader':
+            oldest = self.rounds.get(self.quorum_round + 1)
+            return (oldest['start'] if oldest else self.now) + ROUND_OVERDUE
+        if self.mode == 'follower':
+            return self.heard_at + self.bounds.check + HEARTBEAT_OVERDUE
+        return self.alone_since + self.election_wait
+
+    def set_contact_alarm(self, at):
+        self.contact_due = at
+        self.alarms['contact'] = at
+
+    def alarm_contact(self):
+        if self.now > self.contact_due + self.bounds.gather:
+            # This process itself stood still: what was sent to it meanwhile is read first.
+            self.set_contact_alarm(self.now + self.bounds.gather)
+            return
+        if self.out_of_touch():
+            self.turn_callers_away()
+        self.release_held_calls()
+        if self.asks or (self.mode == 'leader' and self.quorum_round + 1 in self.rounds):
+            self.watch_contact()
+
+    # -- answering --------------------------------------------------------
+
+    def turn_callers_away(self):
+        """Answer all callers that wait: nobody knows when a majority will be reached again."""
+        if self.mode == 'leader':
+            self.refuse_unpublished()
+            self.answer_unknown()
+        else:
+            self.answer_asks()
+
+    def refuse_unpublished(self):
+        """Refuse what surely wasn't done: reads, and changes that never left this node."""
+        held, self.held_calls = self.held_calls, []
+        for _, _, callback in held:
+            callback(outcomes.NO_MASTER)
+        tasks, self.tasks = self.tasks, []
+        self.tasks = [task for task in tasks if not task.for_caller]
+        for task in tasks:
+            if task.for_caller:
+                task.callback(outcomes.NO_MASTER)
+        fences, self.fences = self.fences, []
+        for *_, callback in fences:
+            callback(False)
+
+    def answer_unknown(self):
+        """What is published may still be committed, here or by a successor."""
+        for number, (operation, callback) in list(self.open_calls.items()):
+            if not self.is_watch(operation) and self.open_calls.pop(number, None):
+                callback(outcomes.LOST)
+
+    def answer_asks(self):
+        """As a node that isn't master: what was never put to a master surely wasn't done."""
+        asks, self.asks = self.asks, {}
+        for ask in asks.values():
+            if ask.puts and not self.only_reads(ask.op):
+                ask.cb(dict(outcomes.LOST))
+            else:
+                ask.cb(dict(NO_CONTACT, unknown=False))
+
+    def release_held_calls(self):
+        held, self.held_calls = self.held_calls, []
+        for operation, arguments, callback in held:
+            self.serve(operation, arguments, callback)
+        for key in [key for key, ask in self.asks.items() if not ask.puts]:
+            self._put_ask(key)
+
+    # -- the calls themselves ---------------------------------------------
+
+    def serve_call(self, operation, arguments, callback, patient=False):
+        """Serve a call as master. A `patient` caller waits for the next master by itself."""
+        self.call_number += 1
+        number = self.call_number
+        if not patient:
+            self.open_calls[number] = (operation, callback)
+
+        def answered(result):
+            if patient:
+                callback(result)
+            elif self.open_calls.pop(number, None):
+                callback(self.without_contact(result))
+
+        if self.out_of_touch():
+            # Held for a moment: answers of the others may be waiting behind this call.
+            self.held_calls.append((operation, arguments, answered))
+            self.set_contact_alarm(min(self.alarms.get('contact', self.now), self.now) + self.bounds.gather)
+        else:
+            self.serve(operation, arguments, answered)
+
+    def without_contact(self, result):
+        """A refusal by who is still master means that it lost its majority."""
+        if result['status'] != 421 or self.mode != 'leader':
+            return result
+        return outcomes.LOST if result.get('unknown') else NO_CONTACT
+
+    def contact_reset(self):
+        """No longer master: what is still held was never begun."""
+        held, self.held_calls = self.held_calls, []
+        for _, _, callback in held:
+            callback(outcomes.NO_MASTER)
+        self.watch_election()
+
+    def lose_master(self, why):
+        super().lose_master(why)
+        self.watch_election()
+
+    def watch_election(self):
+        """What waits here has an election's time from now."""
+        self.alarms.pop('contact', None)
+        if self.asks:
+            self.watch_contact()
+
+    def _put_ask(self, key):
+        if self.mode == 'follower' and self.out_of_touch():
+            # Kept back, so that it can still be said that it was not done.
+            self.watch_contact()
+            return
+        super()._put_ask(key)
+        if key in self.asks:
+            self.watch_contact()
+
+    # -- for the role -----------------------------------------------------
+
+    def is_watch(self, operation):
+        """Whether an operation waits for events, however long that takes."""
+        return False
+
+    def only_reads(self, operation):
+        """Whether an operation surely changes nothing."""
+        return False
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -168,7 +168,7 @@
         self.alarm('chk', seam.ZERO)
         asks, self.asks = self.asks, {}
         for a in asks.values():
-            self.serve(a.op, a.args, lambda res, a=a: a.told(res, 0))
+            self.serve_call(a.op, a.args, lambda res, a=a: a.told(res, 0))
 
     def unmastered(self):
         """For the role."""
@@ -190,12 +190,13 @@
         for f in flights:
             for cb, _, lost in f['results']:
                 cb(lost)
-        for _, cb in tasks:
-            cb(outcomes.NO_MASTER)
+        for task in tasks:
+            task.callback(outcomes.NO_MASTER)
         for *_, cb in fences:
             cb(False)
         self.peers = {}
         self.unmastered()
+        self.contact_reset()
         self.alarm('find', seam.ZERO)
         if self.stopping:
             self.alarm('exit', seam.ms(300))
--- a/zinctrail/agree/leases.py
+++ b/zinctrail/agree/leases.py
@@ -82,6 +82,7 @@
             ):
                 self.check_member(p)
         self.round_answered(self.round)
+        self.watch_contact()
 
     def m_chk_re(self, env):
         if env.get('no'):
@@ -143,6 +144,8 @@
                 if r['grants']:
                     self.grant(p, r)
         self.pass_fences(lambda need, after: need <= q)
+        # What waited while we were out of touch.
+        self.pump()
 
     def pass_fences(self, passed):
         ready = [cb for need, after, cb in self.fences if passed(need, after)]
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -65,6 +65,8 @@
     role = ''
     prefix = 'partner'
     level = zinctrail.WIRE_LEVEL
+    # How long what was asked waits for a master to be known at all.
+    election_wait = LONE
 
     def __init__(self, place: Place, bounds: bounds_.Bounds, rng, node: str = ''):
         super().__init__(rng)
@@ -78,6 +80,8 @@
         self.master = None
         # Since when no master is known here.
         self.alone_since = seam.ZERO
+        # When a master in force was last heard.
+        self.heard_at = seam.ZERO
         self.mode = 'candidate'
         self.known = {}
         self.refused = set()
@@ -322,6 +326,7 @@
             self.acks.clear()
             self.log(f'Follows {env["f"]} in term {self.term}.', 'follow', term=self.term, node=env['f'], addr=env['a'])
             self.followed()
+        self.heard_at = self.now
         if pace is not None:
             self.pace_told = pace
         self.alarm('lead', max(self.pace_told, self.bounds.check) * self.bounds.misses)
@@ -486,7 +491,7 @@
             a = self.asks.pop(key)
             # Why told apart: what was never put to any master has surely not been done.
             a.cb({'status': 504, 'unknown': a.puts > 0, 'fault': 'no outcome from the master in time'})
-        if not self.master and self.now - self.alone_since >= LONE:
+        if not self.master and self.now - self.alone_since >= self.election_wait:
             # Why not kept: we may be cut off, and others are not; who comes back finds a master sooner there.
             for key in [k for k, a in self.asks.items() if not a.puts]:
                 self.asks.pop(key).cb(
--- a/zinctrail/agree/replication.py
+++ b/zinctrail/agree/replication.py
@@ -12,20 +12,26 @@
 class Replication:
     """The master's single line of state versions: computed, published, committed in order."""
 
-    def submit(self, fn, cb):
-        """Have fn(txn) run in the line of generations; cb(result) once it is in force."""
+    def submit(self, fn, cb, for_caller=False):
+        """Have fn(txn) run in the line of generations; cb(result) once it is in force.
+
+        What is submitted `for_caller` is refused while no majority is reached; the master's own work is kept.
+        """
         if self.mode != 'leader':
             cb(outcomes.NO_MASTER)
         elif len(self.tasks) >= self.bounds.queue_most * 4:
             cb({'status': 503, 'fault': 'busy', 'retry_ms': 200})
         else:
-            self.tasks.append((fn, cb))
+            self.tasks.append(transactions.Task(fn, cb, for_caller))
             self.pump()
 
     def pump(self):
         """Compute the next generation from all that waits, as soon as one may follow the last."""
         if self.mode != 'leader' or not self.tasks or self.settling or len(self.flights) >= FLIGHTS_MOST:
             return
+        # Nothing is published that could not be committed: its callers can then be refused for certain.
+        if self.round_overdue():
+            return
         # Why alone: what a master keeps beside the state, as of locks and beats, begins with its first generation.
         if self.flights and self.rep.committed[0] != self.term:
             return
@@ -47,7 +53,7 @@
         tasks, self.tasks = self.tasks, []
         at = (self.term, self.rep.accepted[1] + 1)
         txn = transactions.Txn(self.rep, at, self.now)
-        results = [(cb, txn.run(fn), outcomes.LOST) for fn, cb in tasks]
+        results = [(cb, txn.run(fn), outcomes.LOST) for fn, cb in ((task.work, task.callback) for task in tasks)]
         rows = txn.rows()
         if not rows:
             self.unchanged([(cb, res, outcomes.UNSURE) for cb, res, _ in results])
--- a/zinctrail/agree/transactions.py
+++ b/zinctrail/agree/transactions.py
@@ -1,8 +1,21 @@
 """What one state version is computed in, and what reads look at."""
 
+import dataclasses
+import typing
+
 import zinctrail.faults as faults
 
 
+@dataclasses.dataclass(slots=True)
+class Task:
+    """A change that waits for the next generation."""
+
+    work: typing.Callable
+    callback: typing.Callable
+    # Whether a caller waits for it, and not the master itself.
+    for_caller: bool = False
+
+
 class Txn:
     """One generation being computed: reads see what it wrote so far, and all that was accepted before it."""
 
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -8,6 +8,7 @@
 
 import zinctrail.agree.asks as asks
 import zinctrail.agree.bootstrap as bootstrap
+import zinctrail.agree.contact as contact
 import zinctrail.agree.elections as elections
 import zinctrail.agree.journal as journal
 import zinctrail.agree.leases as leases
@@ -33,6 +34,7 @@
     membership.Membership,
     voting_set.VotingSet,
     leaving.Leaving,
+    contact.Contact,
     asks.Asks,
     partner.Partner,
 ):
@@ -80,6 +82,7 @@
         # Whether the voting set is to change: nothing new is published until all is committed.
         self.settling = False
         self.fences = []
+        self.contact_init()
         self.changes = collections.deque(maxlen=CHANGES_MOST)
         # The generations that were committed: (at, when, whether routes changed).
         self.commits = collections.deque(maxlen=CHANGES_MOST)
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -264,7 +264,7 @@
             txn.put('endpoints', inc, old if says(old, row) else new)
             return {'status': 200, 'epoch': txn.get('meta', 'epoch') or 0}
 
-        self.submit(put, cb)
+        self.submit(put, cb, for_caller=True)
 
     def serve_leave(self, args, cb):
         """An endpoint signs off, for good."""
@@ -275,7 +275,7 @@
             txn.put('goners', f'{inc}/left', txn.get('meta', 'epoch') or 0)
             return {'status': 200}
 
-        self.submit(put, cb)
+        self.submit(put, cb, for_caller=True)
 
     def gone(self, txn, inc):
         self.beats.pop(inc, None)
@@ -468,6 +468,13 @@
     def acts(self, op):
         return op not in READS
 
+    def is_watch(self, operation):
+        return operation in WATCHES
+
+    def only_reads(self, operation):
+        # A beat may bring an endpoint into the state.
+        return operation in READS and operation != 'beat'
+
     def serve(self, op, args, cb):
         try:
             if op in SERVES:
@@ -478,7 +485,7 @@
                 elif op in READS:
                     self.read(lambda txn: coord.run(self, txn, op, args), cb)
                 else:
-                    self.submit(lambda txn: coord.run(self, txn, op, args), cb)
+                    self.submit(lambda txn: coord.run(self, txn, op, args), cb, for_caller=True)
             else:
                 raise faults.CallFault(404, f'no operation {op}')
         except faults.CallFault as e:
@@ -486,10 +493,14 @@
 
     def serve_claim(self, args, cb):
         name = args.get('id')
+
+        def claim(txn):
+            return claims.claim(self, txn, args)
+
         if isinstance(name, str) and self.tracer.picks(name):
-            self.submit(lambda txn: claims.claim(self, txn, args), lambda res: self.claim_told(name, args, res, cb))
+            self.submit(claim, lambda res: self.claim_told(name, args, res, cb), for_caller=True)
         else:
-            self.submit(lambda txn: claims.claim(self, txn, args), cb)
+            self.submit(claim, cb, for_caller=True)
 
     def claim_told(self, name, args, res, cb):
         outcome = res.get('got') or res['status']
@@ -516,6 +527,7 @@
                 self, txn, 'config.apply', args, lambda core, txn, args: config.apply(txn, doc, base)
             ),
             done,
+            for_caller=True,
         )
 
     def tick_waits(self):
@@ -575,7 +587,7 @@
         self.fence(lambda ok: cb({'status': 200, 'state': s} if ok else outcomes.NO_MASTER))
 
     def serve_items(self, args, cb):
-        self.submit(lambda txn: items.apply(txn, args.get('change')), cb)
+        self.submit(lambda txn: items.apply(txn, args.get('change')), cb, for_caller=True)
 
     def serve_items_get(self, args, cb):
         self.read(lambda txn: {'status': 200, 'items': items.read(txn), 'generation': txn.gen}, cb)
@@ -601,7 +613,7 @@
             txn.put('cells', cell, row)
             return {'status': 200}
 
-        self.submit(put, cb)
+        self.submit(put, cb, for_caller=True)
 
     def serve_watch(self, op, args, cb):
         wait = coord.whole(args, 'wait_ms', 0, 60000, 0)
@@ -660,5 +672,5 @@
     'config.check': Core.serve_check,
     'status': Core.serve_status,
     'claim': Core.serve_claim,
-    'close': lambda core, args, cb: core.submit(lambda txn: claims.close(core, txn, args), cb),
+    'close': lambda core, args, cb: core.submit(lambda txn: claims.close(core, txn, args), cb, for_caller=True),
 }
