A deposed master ends its term when it hears its successor first; trials of cut-off nodes

Cause: a master that heard its successor's heartbeat or publication before anybody told it of the newer term became a follower without stepping down. Its waiting calls stayed unanswered until its next heartbeat alarm, which then sent heartbeats in the successor's term: members followed it, it stepped down, and an election in a third term unseated the successor.

Also: a follower whose frames no longer reach a master that it still hears answers calls after 700 ms without any sign that the master received them.

--- /dev/null
+++ b/features/steps/cut_off_steps.py
@@ -0,0 +1,142 @@
+"""A control node out of touch with a majority: trials in the simulator, and single moments of one node."""
+
+import contextlib
+import types
+import unittest.mock as mock
+
+import behave
+
+import zinctrail.agree.contact as contact
+import zinctrail.agree.elections as elections
+import zinctrail.agree.leases as leases
+import zinctrail.agree.partner as partner
+import zinctrail.agree.replica as replica
+import zinctrail.agree.replication as replication
+import zinctrail.ctl.api as api
+import zinctrail.ctl.core as core
+import zinctrail.seam as seam
+import zinctrail.sim.cut_off as cut_off
+
+ms = seam.ms
+
+
+# -- trials, with one guard off or none ---------------------------------------
+
+
+def told_as_it_is(rid, result, headers=None, whole=api.outcome):
+    """A master's refusal reaches its caller by its inner status."""
+    if result['status'] in (421, 503):
+        return seam.Outcome(rid, 421, {}, b'{}')
+    return whole(rid, result, headers)
+
+
+def follow_at_once(self, env, pace=None):
+    return partner.Partner.follow(self, env, pace)
+
+
+ANY_QUORUM = types.SimpleNamespace(quorum_both=lambda nodes, vc: True, routes_of=replica.routes_of)
+NO_NOTICING = (contact.Contact, 'out_of_touch', lambda self: False)
+NO_ROUND_OVERDUE = (contact.Contact, 'round_overdue', lambda self: False)
+GUARDS = {
+    'noticing': [NO_NOTICING, NO_ROUND_OVERDUE],
+    "the election's bound": [(contact.Contact, 'election_wait', ms(600))],
+    'ending a term': [(elections.Elections, 'follow', follow_at_once)],
+    # A master that noticed refuses reads before their fence.
+    'fences and noticing': [(leases.Leases, 'fence', lambda self, callback: callback(True)), NO_NOTICING],
+    'quorums for commits': [(replication, 'replica', ANY_QUORUM)],
+    'leases': [(core.Core, 'leased', lambda self: True), (core.Core, 'lease_left', lambda self: ms(2000))],
+    'lock terms': [(core.Core, 'lock_term', lambda self, row: ms(row['lease_ms'] / 4))],
+    'refusals told as 503': [(api, 'outcome', told_as_it_is)],
+}
+
+
+def run_trials(context, checkers):
+    found = []
+    for seed in context.seeds:
+        trial = cut_off.Trial(seed, context.trouble).run()
+        for checker in checkers:
+            found += [f'{checker}, seed {seed}: {text}' for text in trial.verdicts(checker)]
+    return found
+
+
+@behave.given('trials of a {trouble} under seeds {seeds}')
+def _(context, trouble, seeds):
+    context.trouble, context.seeds = trouble, [int(seed) for seed in seeds.split(',')]
+
+
+@behave.then('no checker of the trials finds anything')
+def _(context):
+    found = run_trials(context, cut_off.CHECKS)
+    assert not found, '\n'.join(found[:10])
+
+
+@behave.then('with {guard} switched off in the trials, checker {checker} finds something')
+def _(context, guard, checker):
+    with contextlib.ExitStack() as stack:
+        for target in GUARDS[guard]:
+            stack.enter_context(mock.patch.object(*target))
+        found = run_trials(context, [checker])
+    assert found, f'{checker} is silent without {guard}'
+
+
+# -- single moments -----------------------------------------------------------
+
+
+@behave.when('a caller reads a cell there, and its successor is heard at once')
+def _(context):
+    node = context.node
+    node.mute = True
+    node.feed('http', 1, seam.Call('POST', '/v1/cell/get', {}, b'{"name": "g.1"}'))
+    node.sends.clear()
+    context.successor_term = node.m.term + 1
+    node.recv('c', 'chk', term=context.successor_term, to='a', round=1, http='')
+    node.run(1000)
+
+
+@behave.then("that caller is refused, and the node sends no heartbeat in its successor's term")
+def _(context):
+    node = context.node
+    assert node.told[1][0] == 503, node.told
+    beats = [e.msg for e in node.sends if e.msg['t'] == 'chk' and e.msg['term'] == context.successor_term]
+    assert not beats, beats
+    assert node.m.mode == 'follower', node.m.mode
+
+
+@behave.given('a control node that leads, and hears nobody for {n:d} ms')
+def _(context, n):
+    context.execute_steps('given a control node that leads')
+    context.node.mute = True
+    context.node.run(n)
+
+
+@behave.when('a {role} asks it for a number')
+def _(context, role):
+    node = context.node
+    node.sends.clear()
+    node.m.peers['b'].role = 'prox' if role == 'proxy' else 'core'
+    node.recv('b', 'ask', key='k1', op='number.step', args={'name': 'n'})
+    node.run(20)
+
+
+@behave.then('{told} is what that asker is told within 20 ms')
+def _(context, told):
+    results = [msg['result']['status'] for msg in context.node.sent('ask_re')]
+    assert results == ([] if told == 'nothing' else [int(told)]), results
+
+
+@behave.when('a caller asks for a number, and the node stands still for {n:d} ms while b went on')
+def _(context, n):
+    node = context.node
+    node.run(1)
+    node.feed('http', 1, seam.Call('POST', '/v1/number/step', {}, b'{"name": "n"}'))
+    node.at += ms(n)
+    # Its alarms are looked at first, then what came meanwhile.
+    node.feed('wake')
+    node.recv('b', 'chk', term=node.m.term, to='a', round=2, http='')
+    node.recv('b', 'grant', term=node.m.term, ack=2)
+    node.run(50)
+
+
+@behave.then('that caller is still waiting')
+def _(context):
+    assert not context.node.told, context.node.told
--- a/zinctrail/agree/contact.py
+++ b/zinctrail/agree/contact.py
@@ -14,6 +14,9 @@
 ROUND_OVERDUE = seam.ms(500)
 # How late a master's heartbeat may be before its followers stop relying on it.
 HEARTBEAT_OVERDUE = seam.ms(300)
+# How long a call put to the master may stay unanswered, while nothing else shows either that the master received
+# it: a link may have failed in one direction. A lease granted shows it, within about two heartbeats.
+ANSWER_OVERDUE = seam.ms(700)
 # How long a node without a master waits for an election before it turns callers away.
 ELECTION_OVERDUE = seam.ms(300)
 RETRY_MS = 300
@@ -36,6 +39,10 @@
         # Calls that came while out of touch: (operation, arguments, callback).
         self.held_calls = []
         self.contact_due = seam.ZERO
+        # Up to when the master is known to have received what we sent.
+        self.received_until = seam.ZERO
+        # When the call was put that it seems not to have received.
+        self.unheard_since = None
 
     # -- noticing ---------------------------------------------------------
 
@@ -44,7 +51,7 @@
         if self.mode == 'leader':
             return self.round_overdue()
         if self.mode == 'follower':
-            return self.now - self.heard_at >= self.bounds.check + HEARTBEAT_OVERDUE
+            return self.unheard_since is not None or self.now - self.heard_at >= self.bounds.check + HEARTBEAT_OVERDUE
         return self.now - self.alone_since >= self.election_wait
 
     def round_overdue(self):
@@ -64,9 +71,23 @@
             oldest = self.rounds.get(self.quorum_round + 1)
             return (oldest['start'] if oldest else self.now) + ROUND_OVERDUE
         if self.mode == 'follower':
-            return self.heard_at + self.bounds.check + HEARTBEAT_OVERDUE
+            return min(self.heard_at + self.bounds.check + HEARTBEAT_OVERDUE, self.answer_deadline())
         return self.alone_since + self.election_wait
 
+    def answer_deadline(self):
+        """When the oldest call that the master leaves unanswered counts as unheard."""
+        return self.oldest_unheard() + ANSWER_OVERDUE
+
+    def oldest_unheard(self):
+        """When the oldest call was put of which nothing shows that the master received it; now, if there is none."""
+        put = (ask.first_at for ask in self.asks.values() if ask.puts)
+        return min((at for at in put if at > self.received_until), default=self.now)
+
+    def master_received(self, sent_at):
+        self.received_until = max(self.received_until, sent_at)
+        if self.unheard_since is not None and sent_at > self.unheard_since:
+            self.unheard_since = None
+
     def set_contact_alarm(self, at):
         self.contact_due = at
         self.alarms['contact'] = at
@@ -76,6 +97,8 @@
             # This process itself stood still: what was sent to it meanwhile is read first.
             self.set_contact_alarm(self.now + self.bounds.gather)
             return
+        if self.mode == 'follower' and self.now >= self.answer_deadline():
+            self.unheard_since = self.oldest_unheard()
         if self.out_of_touch():
             self.turn_callers_away()
         self.release_held_calls()
@@ -167,6 +190,15 @@
         super().lose_master(why)
         self.watch_election()
 
+    def followed(self):
+        self.unheard_since = None
+        self.received_until = seam.ZERO
+        for ask in self.asks.values():
+            if ask.puts:
+                # It is put to another master now.
+                ask.first_at = self.now
+        super().followed()
+
     def watch_election(self):
         """What waits here has an election's time from now."""
         self.alarms.pop('contact', None)
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -170,6 +170,13 @@
         for a in asks.values():
             self.serve_call(a.op, a.args, lambda res, a=a: a.told(res, 0))
 
+    def follow(self, env, pace=None):
+        # A master that is deposed by its successor's own frame ends its term first: what waits is answered, and it
+        # sends no heartbeats of its own in the successor's term.
+        if self.mode == 'leader' and env['term'] > self.term:
+            self.step_down('newer term')
+        return super().follow(env, pace)
+
     def unmastered(self):
         """For the role."""
 
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -45,7 +45,8 @@
         self.args = args
         self.cb = cb
         self.until = until
-        # When it was last put to a master, and how often it was.
+        # When it was first and last put to a master, and how often it was.
+        self.first_at = None
         self.at = seam.ZERO
         self.puts = 0
 
@@ -320,13 +321,13 @@
             # Why forgotten: a master that was started again counts its rounds from the beginning.
             self.acks.clear()
             self.raise_term(env['term'], env['f'])
+        self.heard_at = self.now
         if not self.master or self.master['id'] != env['f'] or self.mode != 'follower':
             self.mode = 'follower'
             self.master = {'id': env['f'], 'addr': env['a'], 'http': env.get('http', '')}
             self.acks.clear()
             self.log(f'Follows {env["f"]} in term {self.term}.', 'follow', term=self.term, node=env['f'], addr=env['a'])
             self.followed()
-        self.heard_at = self.now
         if pace is not None:
             self.pace_told = pace
         self.alarm('lead', max(self.pace_told, self.bounds.check) * self.bounds.misses)
@@ -374,6 +375,7 @@
     def granted(self, ack):
         at = self.acks.get(ack)
         if at is not None:
+            self.master_received(at)
             until = at + self.bounds.lease
             if self.lease_until is None or until > self.lease_until:
                 self.lease_until = until
@@ -473,6 +475,7 @@
         a = self.asks[key]
         if self.master:
             a.at = self.now
+            a.first_at = a.first_at or self.now
             a.puts += 1
             self.tell(self.master['addr'], 'ask', key=key, op=a.op, args=a.args)
 
@@ -503,10 +506,15 @@
         if self.asks:
             self.alarm('asks', min(seam.ms(100), min(a.until for a in self.asks.values()) - self.now))
 
+    def master_received(self, sent_at):
+        """A frame of the master shows that what we sent at `sent_at` reached it."""
+
     def m_ask_re(self, env):
         a = self.asks.get(env['key'])
         if a is None:
             return
+        if a.first_at is not None:
+            self.master_received(a.first_at)
         if env['result'].get('status') == 421:
             # Why wait: it is no master (any more); the next one is asked when we follow it.
             return
