--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -45,7 +45,8 @@
         self.args = args
         self.cb = cb
         self.until = until
-        # When it was last put to a master, and how often it was.
+        # When it was first and last put to a master, and how often it was.
+        self.first_at = None
         self.at = seam.ZERO
         self.puts = 0
 
@@ -65,6 +66,8 @@
     role = ''
     prefix = 'partner'
     level = zinctrail.WIRE_LEVEL
+    # How long what was asked waits for a master to be known at all.
+    election_wait = LONE
 
     def __init__(self, place: Place, bounds: bounds_.Bounds, rng, node: str = ''):
         super().__init__(rng)
@@ -78,6 +81,8 @@
         self.master = None
         # Since when no master is known here.
         self.alone_since = seam.ZERO
+        # When a master in force was last heard.
+        self.heard_at = seam.ZERO
         self.mode = 'candidate'
         self.known = {}
         self.refused = set()
@@ -316,6 +321,7 @@
             # Why forgotten: a master that was started again counts its rounds from the beginning.
             self.acks.clear()
             self.raise_term(env['term'], env['f'])
+        self.heard_at = self.now
         if not self.master or self.master['id'] != env['f'] or self.mode != 'follower':
             self.mode = 'follower'
             self.master = {'id': env['f'], 'addr': env['a'], 'http': env.get('http', '')}
@@ -369,6 +375,7 @@
     def granted(self, ack):
         at = self.acks.get(ack)
         if at is not None:
+            self.master_received(at)
             until = at + self.bounds.lease
             if self.lease_until is None or until > self.lease_until:
                 self.lease_until = until
@@ -468,6 +475,7 @@
         a = self.asks[key]
         if self.master:
             a.at = self.now
+            a.first_at = a.first_at or self.now
             a.puts += 1
             self.tell(self.master['addr'], 'ask', key=key, op=a.op, args=a.args)
 
@@ -486,7 +494,7 @@
             a = self.asks.pop(key)
             # Why told apart: what was never put to any master has surely not been done.
             a.cb({'status': 504, 'unknown': a.puts > 0, 'fault': 'no outcome from the master in time'})
-        if not self.master and self.now - self.alone_since >= LONE:
+        if not self.master and self.now - self.alone_since >= self.election_wait:
             # Why not kept: we may be cut off, and others are not; who comes back finds a master sooner there.
             for key in [k for k, a in self.asks.items() if not a.puts]:
                 self.asks.pop(key).cb(
@@ -498,10 +506,15 @@
         if self.asks:
             self.alarm('asks', min(seam.ms(100), min(a.until for a in self.asks.values()) - self.now))
 
+    def master_received(self, sent_at):
+        """A frame of the master shows that what we sent at `sent_at` reached it."""
+
     def m_ask_re(self, env):
         a = self.asks.get(env['key'])
         if a is None:
             return
+        if a.first_at is not None:
+            self.master_received(a.first_at)
         if env['result'].get('status') == 421:
             # Why wait: it is no master (any more); the next one is asked when we follow it.
             return
