Catch-up in pieces: paced, resumed, with a digest; history kept by rows; a new master asks first

Cause: a whole state above frame_most was never sent; a new master took every follower to hold nothing; a whole state stood before the heartbeats on its connection. Optional field pieces tells who reads them; others get the whole frame as before. The simulator's links can have a bandwidth.

--- a/zinctrail/agree/bootstrap.py
+++ b/zinctrail/agree/bootstrap.py
@@ -102,8 +102,7 @@
         self.named = {}
         self.cluster = cluster
         self.raise_term(term)
-        self.rep.accept((0, gen), full=full)
-        self.keep((0, gen), (0, 0), None, full)
+        self.take((0, gen), (0, 0), None, full)
         for addr in known:
             self.remember(addr)
         self.alarm('find', seam.ZERO)
@@ -163,9 +162,8 @@
         self.named = {}
         vc = {'committed': view, 'accepted': view}
         full = {'meta': {'cluster': cluster, 'vc': vc, 'boot': view, 'routes': [0, 1]}}
-        self.rep.accept((0, 1), full=full)
         self.write('term', {'term': self.term, 'vote': self.vote})
-        self.keep((0, 1), (0, 0), None, full)
+        self.take((0, 1), (0, 0), None, full)
         self.boots = {self.node}
 
     def push_boot(self):
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -107,7 +107,7 @@
         self.voted_at = self.now
         self.alarms.pop('elect', None)
         self.log(f'Votes for {env["f"]} in term {self.term}.', 'vote', term=self.term, node=env['f'])
-        self.tell(env['a'], 'vote', term=self.term, accepted=self.rep.accepted, member=self.member())
+        self.tell(env['a'], 'vote', term=self.term, accepted=self.rep.accepted, member=self.member(), pieces=True)
 
     def m_vote(self, env):
         if self.votes is None or env['term'] != self.term or self.mode != 'candidate':
@@ -119,6 +119,7 @@
             return
         self.votes[env['f']] = env['member']
         self.joined_at[env['f']] = partner.tup(env['accepted'])
+        self.note_piecewise(env)
         self.count_votes()
 
     def count_votes(self):
@@ -139,7 +140,7 @@
         self.pumped_at = None
         self.settling = False
         self.fences = []
-        self.changes.clear()
+        self.drop_transfers()
         self.commits.clear()
         self.offers = {}
         self.faulty = {}
@@ -149,7 +150,9 @@
         self.quorum_round = self.round
         for node, row in self.rep.whole().get('members', {}).items():
             if node != self.node:
-                self.peers[node] = peers.Peer(node, row, self.now)
+                peer = self.peers[node] = peers.Peer(node, row, self.now)
+                # Only who voted has told what it holds; the others tell it with their first check.
+                peer.accepted = self.joined_at.pop(node, None) if node in joins else None
         joins[self.node] = self.member()
 
         def first(txn):
@@ -195,6 +198,7 @@
         for *_, cb in fences:
             cb(False)
         self.peers = {}
+        self.drop_transfers()
         self.unmastered()
         self.alarm('find', seam.ZERO)
         if self.stopping:
--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -93,7 +93,9 @@
             nexts[base] = max(nexts.get(base, at), at)
     while rep.accepted in nexts:
         at = nexts[rep.accepted]
-        rep.accept(at, rows=docs[gen_name(at)]['rows'])
+        rows = docs[gen_name(at)]['rows']
+        rep.loaded.append((at, rep.accepted, rows, tuple(rep.latest('meta', 'routes') or (0, 0))))
+        rep.accept(at, rows=rows)
     # Why folded: nobody here knows any more which of them are committed.
     rep.settle()
     newest = max([(d['term'], d['gen']) for d in docs.values()], default=(0, 0))
--- a/zinctrail/agree/leases.py
+++ b/zinctrail/agree/leases.py
@@ -16,6 +16,7 @@
             return
         for p in [p for p in self.peers.values() if p.ack_at < self.now - self.pace(p) * self.bounds.misses]:
             self.fault_member(p, 'silent')
+        self.forget_transfers()
         self.tick_master()
 
     def alarm_grants(self):
@@ -92,6 +93,8 @@
         if self.mode != 'leader' or p is None or env['term'] != self.term:
             return
         p.ack_at = self.now
+        if env.get('pieces'):
+            self.piecewise.add(p.node)
         if env['round'] > p.acked:
             if not p.acked and 'grants' not in self.alarms:
                 # Why a round soon: it has no lease yet and serves nobody.
@@ -113,6 +116,9 @@
                 self.grant(p, r)
 
     def catch_up(self, p):
+        if p.sent is not None and self.in_transfer(p):
+            self.press_transfer(p)
+            return
         # Why a pause: what it lacks may be on its way to it.
         if self.now - p.offered < self.bounds.check / 2:
             return
--- a/zinctrail/agree/membership.py
+++ b/zinctrail/agree/membership.py
@@ -40,6 +40,7 @@
             self.deposed(env['term'])
             return
         p = self.peers.get(env['f'])
+        self.note_piecewise(env)
         self.joined_at[env['f']] = partner.tup(env['accepted'])
         if p is not None:
             p.ack_at = self.now
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -12,6 +12,7 @@
 import zinctrail
 import zinctrail.agree.frames as frames
 import zinctrail.agree.replica as replica
+import zinctrail.agree.snapshots as snapshots
 import zinctrail.bounds as bounds_
 import zinctrail.measures as measures
 import zinctrail.seam as seam
@@ -20,6 +21,8 @@
 REFUSALS = (421, 429, 503)
 # How long what was asked waits for a master to be known at all: an election's time.
 LONE = seam.ms(600)
+# How many answers to a new master's checks tell that we read pieces.
+PIECES_SAID = 3
 LOST = {'status': 504, 'unknown': True, 'fault': 'the master changed before the outcome was known'}
 
 
@@ -91,6 +94,10 @@
         self.asks = {}
         self.ask_no = 0
         self.life = ''
+        # What a master sends us in pieces, as far as it came.
+        self.incoming = None
+        # In how many answers to checks a new master was told that we read pieces.
+        self.pieces_said = 0
         # Why the last master was lost, for the log of the next election.
         self.lost_why = ''
 
@@ -298,7 +305,7 @@
             self.join(master['addr'])
 
     def join(self, addr):
-        self.tell(addr, 'join', member=self.member(), accepted=self.rep.accepted, term=self.term)
+        self.tell(addr, 'join', member=self.member(), accepted=self.rep.accepted, term=self.term, pieces=True)
 
     def can_join(self):
         return not self.stopping
@@ -328,6 +335,9 @@
         return True
 
     def followed(self):
+        self.pieces_said = 0
+        if self.incoming is not None and self.incoming.key[:2] != (self.master['id'], self.term):
+            self.incoming = None
         self.retry_asks()
 
     def m_chk(self, env):
@@ -348,6 +358,9 @@
             self.granted(env['ack'])
         while len(self.acks) > 32:
             self.acks.popitem(last=False)
+        # Told at first only: a new master knows nothing of us, and later ones cost bytes with every check.
+        more = {'pieces': True} if self.pieces_said < PIECES_SAID else {}
+        self.pieces_said += 1
         self.tell(
             env['a'],
             'chk_re',
@@ -355,6 +368,7 @@
             round=env['round'],
             accepted=self.rep.accepted,
             committed=self.rep.committed,
+            **more,
             **self.check_extra(),
         )
 
@@ -416,8 +430,7 @@
             ok = True
         elif self.rep.fits(at, base, full is not None):
             self.cluster = self.cluster or env['c']
-            self.rep.accept(at, rows=env.get('rows'), full=full)
-            self.keep(at, base, env.get('rows'), full)
+            self.take(at, base, env.get('rows'), full)
             ok = True
         else:
             ok = False
@@ -425,6 +438,44 @@
         if env.get('com'):
             self.commit(tup(env['com']))
 
+    def m_piece(self, env):
+        if not self.follow(env):
+            self.tell(env['a'], 'pub_re', term=self.term, at=env['at'], ok=False)
+            return
+        at, base = tup(env['at']), env['base'] and tup(env['base'])
+        if self.rep.accepted == at:
+            self.tell(env['a'], 'pub_re', term=self.term, at=at, ok=True, accepted=at)
+            return
+        key = (env['f'], env['term'], at, base)
+        if self.incoming is None or self.incoming.key != key:
+            self.incoming = snapshots.Incoming(key, whole=base is None)
+        incoming = self.incoming
+        if env['number'] == incoming.have:
+            incoming.take(env['rows'])
+            if 'digest' in env:
+                self.incoming = None
+                ok = self.take_transfer(incoming, env)
+                self.tell(env['a'], 'pub_re', term=self.term, at=at, ok=ok, accepted=self.rep.accepted)
+                return
+        self.tell(env['a'], 'piece_re', term=self.term, at=at, base=base, have=incoming.have)
+
+    def take_transfer(self, incoming, env):
+        """Whether what came in pieces is whole, fits what we have, and was taken."""
+        _, _, at, base = incoming.key
+        if not incoming.matches(env['digest']):
+            self.log(f'Version {at} came with another digest than its sender told.', 'digest', at=list(at))
+            return False
+        if not self.rep.fits(at, base, base is None):
+            return False
+        self.cluster = self.cluster or env['c']
+        self.take(at, base, incoming.rows, incoming.tables)
+        return True
+
+    def take(self, at, base, rows, full):
+        """Accept a state version: `rows` on `base`, or all of it in `full`."""
+        self.rep.accept(at, rows=rows, full=full)
+        self.keep(at, base, rows, full)
+
     def keep(self, at, base, rows, full):
         """Voters make it durable; nobody else has a disk."""
 
--- a/zinctrail/agree/replica.py
+++ b/zinctrail/agree/replica.py
@@ -37,6 +37,12 @@
         # The generation that `tables` stands for.
         self.settled = (0, 0)
         self.full_unsaid = False
+        # What a folder held beyond its checkpoint: [(at, base, rows, the routes' version before)].
+        self.loaded = []
+
+    def size(self):
+        """How many rows are in force."""
+        return sum(len(rows) for rows in self.tables.values())
 
     def get(self, table, key=None):
         rows = self.tables.get(table, {})
--- a/zinctrail/agree/replication.py
+++ b/zinctrail/agree/replication.py
@@ -1,10 +1,13 @@
 """The master's single line of state versions: computed, published, committed in order."""
 
+import zinctrail.agree.history as history
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
 import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.transactions as transactions
 
+# From how many changes on only the last value of each key is sent.
+MERGE_FROM = 64
 # How many state versions may be on their way to a quorum at once.
 FLIGHTS_MOST = 16
 
@@ -55,7 +58,7 @@
         routes = replica.routes_of(rows)
         if routes:
             rows.append(['meta', 'routes', list(at)])
-        base, base_routes = self.rep.accepted, partner.tup(self.rep.latest('meta', 'routes'))
+        base = self.rep.accepted
         self.rep.accept(at, rows=rows)
         self.flights.append(
             {
@@ -69,7 +72,7 @@
                 'vc_row': any(r[:2] == ['meta', 'vc'] for r in rows),
             }
         )
-        self.changes.append((base, base_routes, at, rows, bool(routes)))
+        self.record(at, base, rows)
         self.counts['generations'] += 1
         # Why before the commit: a newcomer's answer may be the one that makes the quorum.
         for table, node, row in rows:
@@ -128,17 +131,44 @@
 
     def since(self, base, core):
         """(rows, generations between) from `base` to the latest, or None if that is too far back."""
-        parts, via = [], []
-        for b, b_routes, at, rows, is_routes in reversed(self.changes):
-            if core or is_routes:
-                parts.append(rows if core else replica.routes_of(rows))
-                via.append(at)
-                if base == (b if core else b_routes):
-                    return [r for part in reversed(parts) for r in part], via[1:]
-        return None
+        changes = self.history.since(base, core)
+        if not changes:
+            return None
+        rows = history.rows_between(changes, core)
+        if len(changes) >= MERGE_FROM:
+            rows = history.latest_rows(rows)
+            # Whoever lacks more rows than there are gets the state.
+            if len(rows) > self.rep.size():
+                return None
+        return rows, [change.at for change in reversed(changes)][1:]
+
+    def record(self, at, base, rows):
+        self.history.add(base, at, rows, self.rep.size())
+
+    def take(self, at, base, rows, full):
+        super().take(at, base, rows, full)
+        if full is not None:
+            self.history.restart(at, partner.tup(self.rep.latest('meta', 'routes')))
+        else:
+            self.record(at, base, rows)
+
+    def load_history(self):
+        """What the folder still held of the changes that led here."""
+        loaded = self.rep.loaded
+        routes_at = loaded[0][3] if loaded else partner.tup(self.rep.latest('meta', 'routes'))
+        self.history.restart(loaded[0][1] if loaded else self.rep.accepted, routes_at)
+        for at, base, rows, _ in loaded:
+            self.record(at, base, rows)
+        self.rep.loaded = []
 
     def offer(self, p):
         """Send a member what it lacks: the changes since what it has, or everything."""
+        if p.sent is None:
+            # Before its first answer nothing is known of what it has; and what is on its way in pieces goes on.
+            if p.accepted is None or self.resume_transfer(p) or self.catch_up_in_pieces(p):
+                return
+        elif self.in_transfer(p):
+            return
         at = self.latest_for(p)
         core = p.role == 'core'
         base = p.sent or p.accepted
@@ -155,6 +185,11 @@
             self.counts['full'] += 1
         self.send(p.addr, msg, p.level >= 2)
 
+    def catch_up_in_pieces(self, p):
+        """Whether what a member was found to lack is sent to it in pieces, being too much for one frame."""
+        found = self.since(p.accepted, p.role == 'core')
+        return self.begin_transfer(p, p.accepted, found and found[0])
+
     def publication(self, at, core, base, com):
         found = self.since(base, core) if base else None
         more = {'com': com} if com else {}
@@ -177,6 +212,7 @@
         p.accepted = (
             max(p.accepted or (0, 0), partner.tup(env['accepted'])) if env['ok'] else partner.tup(env['accepted'])
         )
+        self.end_transfer(p, partner.tup(env['at']))
         if not env['ok'] and partner.tup(env['at']) == p.sent:
             # Why only for the last: each of those on their way before it was refused, too.
             p.sent, p.told = None, (0, 0)
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -8,7 +8,9 @@
 
 import zinctrail.agree.asks as asks
 import zinctrail.agree.bootstrap as bootstrap
+import zinctrail.agree.catching_up as catching_up
 import zinctrail.agree.elections as elections
+import zinctrail.agree.history as history
 import zinctrail.agree.journal as journal
 import zinctrail.agree.leases as leases
 import zinctrail.agree.leaving as leaving
@@ -20,8 +22,8 @@
 import zinctrail.measures as measures
 import zinctrail.seam as seam
 
-# How many changes a master keeps to send on.
-CHANGES_MOST = 2048
+# How many commits a master remembers the time of.
+COMMITS_MOST = 2048
 
 
 class Voter(
@@ -29,6 +31,7 @@
     bootstrap.Bootstrap,
     elections.Elections,
     replication.Replication,
+    catching_up.CatchingUp,
     leases.Leases,
     membership.Membership,
     voting_set.VotingSet,
@@ -80,9 +83,17 @@
         # Whether the voting set is to change: nothing new is published until all is committed.
         self.settling = False
         self.fences = []
-        self.changes = collections.deque(maxlen=CHANGES_MOST)
+        # The changes that led here, also those that another master made.
+        self.history = history.History()
+        self.load_history()
+        # Members that said that they read pieces.
+        self.piecewise = set()
+        # {member: its transfer}, also of members that are gone for a while.
+        self.transfers = {}
+        # Whole states being sent: {whether to control nodes: content}.
+        self.contents = {}
         # The generations that were committed: (at, when, whether routes changed).
-        self.commits = collections.deque(maxlen=CHANGES_MOST)
+        self.commits = collections.deque(maxlen=COMMITS_MOST)
         self.round = 0
         self.rounds = {}
         self.quorum_at = seam.ZERO
@@ -102,6 +113,8 @@
             ('prevotes', 'Tries before an election.'),
             ('generations', 'Generations it made as master.'),
             ('full', 'Whole states sent, not changes.'),
+            ('transfers', 'Whole states and changes sent in pieces.'),
+            ('pieces', 'Pieces of those that were sent.'),
             ('probes', 'Probes of endpoints it gave out.'),
         ):
             yield measures.counter(name, text, self.counts[name])
--- a/zinctrail/edge/wire.py
+++ b/zinctrail/edge/wire.py
@@ -13,6 +13,8 @@
 
 # Why: a partner that does not read must not fill our memory.
 WAITING_MOST = 1000
+# How many encoded pieces of state are kept to send to others.
+PIECES_KEPT = 64
 
 
 # Why not smaller ones: what is saved would not pay for the work.
@@ -179,6 +181,8 @@
         self.closing = False
         # The frames encoded last; each holds on to its message, so that no other can stand at its place.
         self.fresh = collections.deque(maxlen=4)
+        # The same of pieces: members that catch up at the same time are at different ones.
+        self.fresh_pieces = collections.deque(maxlen=PIECES_KEPT)
         self.sent_frames = 0
         self.sent_bytes = 0
         # What of that went out, once streamed.
@@ -200,13 +204,14 @@
 
     def encoded(self, msg, packs):
         """The bytes of a frame, kept a while: a publication goes to many."""
-        for kept, packed, data in self.fresh:
+        fresh = self.fresh_pieces if msg.get('t') == 'piece' else self.fresh
+        for kept, packed, data in fresh:
             if kept is msg and packed == packs:
                 return data
         data = json.dumps(msg, separators=(',', ':')).encode()
         if packs and PACK_FROM < len(data) <= self.frame_most:
             data = zlib.compress(data, 1)
-        self.fresh.append((msg, packs, data))
+        fresh.append((msg, packs, data))
         return data
 
     def send(self, addr, msg, packs=False):
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -9,6 +9,7 @@
 import heapq
 import json
 import random
+import zlib
 
 import twisted.internet.defer as defer
 
@@ -17,6 +18,7 @@
 import zinctrail.ctl.core as core
 import zinctrail.data.proxy as proxy
 import zinctrail.dir.daemon as daemon
+import zinctrail.edge.wire as wire
 import zinctrail.faults as faults
 import zinctrail.seam as seam
 
@@ -214,7 +216,7 @@
     # -- effects ----------------------------------------------------------
 
     def do_send(self, e):
-        self.world.carry(self, e.addr, e.msg)
+        self.world.carry(self, e.addr, e.msg, e.packs)
 
     def do_outcome(self, e):
         cb = self.rids.pop(e.rid, None)
@@ -299,6 +301,11 @@
         # How likely a reply over HTTP is lost on its way to whom.
         self.reply_loss = {}
         self.last = {}
+        # Links of bounded bandwidth: {(from, to): bytes a second}, and when each is free again.
+        self.rates = {}
+        self.free = {}
+        # Bytes carried over those links, by kind.
+        self.link_bytes = {}
         # Connections kept to endpoints: {(who, incarnation): (endpoint, its life)}.
         self.links = {}
         self.verified = 0
@@ -385,9 +392,24 @@
     def is_cut(self, a, b):
         return (a, b) in self.cuts
 
-    def carry(self, src, addr, msg):
+    def on_wire(self, src, dst, kind, text, packs):
+        """When a frame has left its sender, over a link of bounded bandwidth."""
+        rate = self.rates.get((src, dst))
+        if rate is None:
+            return self.now
+        size = len(zlib.compress(text.encode(), 1)) if packs and len(text) > wire.PACK_FROM else len(text)
+        self.link_bytes[kind] = self.link_bytes.get(kind, 0) + size
+        begin = max(self.now, self.free.get((src, dst), seam.ZERO))
+        self.free[src, dst] = begin + datetime.timedelta(seconds=size / rate)
+        return self.free[src, dst]
+
+    def carry(self, src, addr, msg, packs=False):
         """A frame between two of our processes; order is kept, as TCP does."""
         text = json.dumps(msg)
+        if len(text) > self.bounds.frame_most:
+            # As edge.wire does; packing is left out of it.
+            self.log(f'{src.name}: frame {msg["t"]} of {len(text)} bytes is above the bound, not sent')
+            return
         self.frames += 1
         self.bytes[msg['t']] = self.bytes.get(msg['t'], 0) + len(text)
         dst = self.by_addr.get(addr)
@@ -398,7 +420,8 @@
         if self.is_cut(src.name, dst.name) or self.rng.random() < self.loss:
             return
         for _ in range(2 if self.rng.random() < self.copies else 1):
-            when = max(self.now + self.delay(src.name, dst.name), self.last.get((src.name, dst.name), seam.ZERO))
+            left = self.on_wire(src.name, dst.name, msg['t'], text, packs)
+            when = max(left + self.delay(src.name, dst.name), self.last.get((src.name, dst.name), seam.ZERO))
             self.last[src.name, dst.name] = when
             self.at(when, self.deliver, src, dst, dst.life, text)
 
