--- a/zinctrail/agree/history.py
+++ b/zinctrail/agree/history.py
@@ -46,7 +46,9 @@
         if base != self.newest:
             # What the routes' version was before is not known here.
             self.restart(base, None)
-        routes_at = next((tuple(val) for table, key, val in rows if (table, key) == ('meta', 'routes')), None)
+        # The last, since several changes may have come as one.
+        told = [tuple(val) for table, key, val in rows if (table, key) == ('meta', 'routes')]
+        routes_at = told[-1] if told else None
         number = self.first + len(self.changes)
         routes_base = (self.routes_at or (0, 0)) if routes_at else None
         self.changes.append(Change(base, routes_base, at, rows))
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -281,6 +281,8 @@
     verifies = True
     # Whether callers that give up close their connection, as those of open traffic do.
     hang_ups = False
+    # Whether bytes on links of bounded bandwidth count after compression.
+    packs = True
 
     def __init__(self, seed, bound=None, trace=False):
         self.seed = seed
@@ -397,7 +399,9 @@
         rate = self.rates.get((src, dst))
         if rate is None:
             return self.now
-        size = len(zlib.compress(text.encode(), 1)) if packs and len(text) > wire.PACK_FROM else len(text)
+        size = (
+            len(zlib.compress(text.encode(), 1)) if packs and self.packs and len(text) > wire.PACK_FROM else len(text)
+        )
         self.link_bytes[kind] = self.link_bytes.get(kind, 0) + size
         begin = max(self.now, self.free.get((src, dst), seam.ZERO))
         self.free[src, dst] = begin + datetime.timedelta(seconds=size / rate)
