--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -79,6 +79,10 @@
     names, top = dated(files)
     # Why nothing older: it is needless, and may be half written over by then.
     docs = {n: dec(n, files[n]) for n, at in names.items() if at > top or n == ckpt_name(top)}
+    for n, d in docs.items():
+        # A file that was written over may be whole and still be another's.
+        if (d.get('term'), d.get('gen')) != names[n]:
+            raise faults.DamageFault(f'{n}: holds something else')
     if top > (0, 0):
         rep.accept(top, full=docs[ckpt_name(top)]['tables'])
     nexts = {}
@@ -88,7 +92,9 @@
             nexts[base] = max(nexts.get(base, at), at)
     while rep.accepted in nexts:
         at = nexts[rep.accepted]
-        rep.accept(at, rows=docs[gen_name(at)]['rows'])
+        rows = docs[gen_name(at)]['rows']
+        rep.loaded.append((at, rep.accepted, rows, tuple(rep.latest('meta', 'routes') or (0, 0))))
+        rep.accept(at, rows=rows)
     # Why folded: nobody here knows any more which of them are committed.
     rep.settle()
     newest = max([(d['term'], d['gen']) for d in docs.values()], default=(0, 0))
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -8,8 +8,10 @@
 
 import zinctrail.agree.asks as asks
 import zinctrail.agree.bootstrap as bootstrap
+import zinctrail.agree.catching_up as catching_up
 import zinctrail.agree.contact as contact
 import zinctrail.agree.elections as elections
+import zinctrail.agree.history as history
 import zinctrail.agree.journal as journal
 import zinctrail.agree.leases as leases
 import zinctrail.agree.leaving as leaving
@@ -21,8 +23,8 @@
 import zinctrail.measures as measures
 import zinctrail.seam as seam
 
-# How many changes a master keeps to send on.
-CHANGES_MOST = 2048
+# How many commits a master remembers the time of.
+COMMITS_MOST = 2048
 
 
 class Voter(
@@ -30,6 +32,7 @@
     bootstrap.Bootstrap,
     elections.Elections,
     replication.Replication,
+    catching_up.CatchingUp,
     leases.Leases,
     membership.Membership,
     voting_set.VotingSet,
@@ -58,8 +61,6 @@
         # The cluster that took the place of ours, where an operator gave ours up.
         self.given_up = journal.dec('retired', files['retired'])['for'] if 'retired' in (files or {}) else ''
         self.since_ckpt = 0
-        self.gen_bytes = 0
-        self.ckpt_bytes = 0
         self.tries = 0
         self.prevotes = None
         self.votes = None
@@ -83,9 +84,19 @@
         self.settling = False
         self.fences = []
         self.contact_init()
-        self.changes = collections.deque(maxlen=CHANGES_MOST)
+        # The changes that led here, also those that another master made.
+        self.history = history.History()
+        # The changes since the last segment of the folder, as files: where they begin, and their names.
+        self.load_segment(files or {})
+        self.load_history()
+        # Members that said that they read pieces.
+        self.piecewise = set()
+        # {member: its transfer}, also of members that are gone for a while.
+        self.transfers = {}
+        # Whole states being sent: {whether to control nodes: content}.
+        self.contents = {}
         # The generations that were committed: (at, when, whether routes changed).
-        self.commits = collections.deque(maxlen=CHANGES_MOST)
+        self.commits = collections.deque(maxlen=COMMITS_MOST)
         self.round = 0
         self.rounds = {}
         self.quorum_at = seam.ZERO
@@ -105,6 +116,8 @@
             ('prevotes', 'Tries before an election.'),
             ('generations', 'Generations it made as master.'),
             ('full', 'Whole states sent, not changes.'),
+            ('transfers', 'Whole states and changes sent in pieces.'),
+            ('pieces', 'Pieces of those that were sent.'),
             ('probes', 'Probes of endpoints it gave out.'),
         ):
             yield measures.counter(name, text, self.counts[name])
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -9,6 +9,7 @@
 import heapq
 import json
 import random
+import zlib
 
 import twisted.internet.defer as defer
 
@@ -17,6 +18,7 @@
 import zinctrail.ctl.core as core
 import zinctrail.data.proxy as proxy
 import zinctrail.dir.daemon as daemon
+import zinctrail.edge.wire as wire
 import zinctrail.faults as faults
 import zinctrail.seam as seam
 
@@ -54,8 +56,9 @@
         self.stall = seam.ZERO
         self.writes = 0
         self.old = []
+        self.only_removed = set()
 
-    def write(self, name, text, gone):
+    def write(self, name, text, gone, looked_at=False):
         if self.full:
             raise faults.DiskFault(f'{name}: no space left')
         self.writes += 1
@@ -64,6 +67,10 @@
             self.files.pop(self.old.pop(0), None)
         self.files[name] = text
         self.old += [g for g in gone if g != name]
+        if looked_at:
+            self.only_removed.update(gone)
+        else:
+            self.only_removed.difference_update(gone)
         if self.syncs:
             self.synced = dict(self.files)
 
@@ -71,7 +78,7 @@
         self.files = dict(self.synced)
         # Why: the one being written over may have its old name and new bytes.
         for name in self.old[:1]:
-            if name in self.files:
+            if name in self.files and name not in self.only_removed:
                 self.files[name] = 'half written over'
 
 
@@ -168,7 +175,7 @@
         for i, e in enumerate(self.machine.feed(kind, w.now * self.drift, *args)):
             if isinstance(e, seam.Write):
                 try:
-                    self.disk.write(e.name, e.text, e.gone)
+                    self.disk.write(e.name, e.text, e.gone, e.looked_at)
                 except faults.DiskFault as fault:
                     w.after(seam.ZERO, self.feed_life, self.life, 'disk_fault', str(fault))
                     break
@@ -214,7 +221,7 @@
     # -- effects ----------------------------------------------------------
 
     def do_send(self, e):
-        self.world.carry(self, e.addr, e.msg)
+        self.world.carry(self, e.addr, e.msg, e.packs)
 
     def do_outcome(self, e):
         cb = self.rids.pop(e.rid, None)
@@ -279,6 +286,8 @@
     verifies = True
     # Whether callers that give up close their connection, as those of open traffic do.
     hang_ups = False
+    # Whether bytes on links of bounded bandwidth count after compression.
+    packs = True
 
     def __init__(self, seed, bound=None, trace=False):
         self.seed = seed
@@ -299,6 +308,11 @@
         # How likely a reply over HTTP is lost on its way to whom.
         self.reply_loss = {}
         self.last = {}
+        # Links of bounded bandwidth: {(from, to): bytes a second}, and when each is free again.
+        self.rates = {}
+        self.free = {}
+        # Bytes carried over those links, by kind.
+        self.link_bytes = {}
         # Connections kept to endpoints: {(who, incarnation): (endpoint, its life)}.
         self.links = {}
         self.verified = 0
@@ -400,9 +414,26 @@
     def is_cut(self, a, b):
         return (a, b) in self.cuts
 
-    def carry(self, src, addr, msg):
+    def on_wire(self, src, dst, kind, text, packs):
+        """When a frame has left its sender, over a link of bounded bandwidth."""
+        rate = self.rates.get((src, dst))
+        if rate is None:
+            return self.now
+        size = (
+            len(zlib.compress(text.encode(), 1)) if packs and self.packs and len(text) > wire.PACK_FROM else len(text)
+        )
+        self.link_bytes[kind] = self.link_bytes.get(kind, 0) + size
+        begin = max(self.now, self.free.get((src, dst), seam.ZERO))
+        self.free[src, dst] = begin + datetime.timedelta(seconds=size / rate)
+        return self.free[src, dst]
+
+    def carry(self, src, addr, msg, packs=False):
         """A frame between two of our processes; order is kept, as TCP does."""
         text = json.dumps(msg)
+        if len(text) > self.bounds.frame_most:
+            # As edge.wire does; packing is left out of it.
+            self.log(f'{src.name}: frame {msg["t"]} of {len(text)} bytes is above the bound, not sent')
+            return
         self.frames += 1
         self.bytes[msg['t']] = self.bytes.get(msg['t'], 0) + len(text)
         dst = self.by_addr.get(addr)
@@ -413,7 +444,8 @@
         if self.is_cut(src.name, dst.name) or self.rng.random() < self.loss:
             return
         for _ in range(2 if self.rng.random() < self.copies else 1):
-            when = max(self.now + self.delay(src.name, dst.name), self.last.get((src.name, dst.name), seam.ZERO))
+            left = self.on_wire(src.name, dst.name, msg['t'], text, packs)
+            when = max(left + self.delay(src.name, dst.name), self.last.get((src.name, dst.name), seam.ZERO))
             self.last[src.name, dst.name] = when
             self.at(when, self.deliver, src, dst, dst.life, text)
 
