Voters leave by agreement, and a lost one is replaced once its loss is sure

Cause: who was told to stop went after 300 ms and was voted out 2 s later, and a voter whose address already answered as somebody else waited for the same 2 s. A second loss in that time left no majority.

Change: a leaver asks the master to be let go and stays until a set without it is committed, or nobody can take its place; who said that it leaves, or whose address another identity was admitted at, is replaced as soon as a control node has caught up. A set is shrunk only where that bears more losses now, or after 10 s; its spread over regions is mended only 15 s after the last change, so that a rolling restart costs one change a node. Absence counts from the last answer. The status page, ztctl status and the metrics tell how many more losses are borne and what the set waits for. `leave` has an optional field more; who does not know it drops a member at once as before.

--- /dev/null
+++ b/features/steps/second_loss_steps.py
@@ -0,0 +1,406 @@
+"""A voter is lost, and a second one soon after: simulated, in virtual time."""
+
+import json
+
+import behave
+
+import zinctrail.agree.partner as partner
+import zinctrail.agree.replica as replica
+import zinctrail.fleet as fleet
+import zinctrail.seam as seam
+import zinctrail.sim.cast as cast
+import zinctrail.sim.world as world
+
+ms = seam.ms
+
+RECOVERY_MOST = ms(20000)
+WIPED_AWAY = ms(800)
+RESTART_AWAY = ms(1000)
+
+
+def build(seed, voters, spares=0):
+    """A small deployment whose first `voters` control nodes form it; spares start once it runs."""
+    w = world.World(seed)
+    shape = dict(fleet.PRESETS['small'], cores=voters)
+    c = cast.Cast(w, shape)
+    c.start()
+    for i in range(spares):
+        w.add(f'spare{i}', 'core', c.cells[i % len(c.cells)], c.seeds).start()
+    w.run(ms(12000), lambda: False)
+    settled = w.run(ms(20000), lambda: is_settled(w, min(5, voters + spares)))
+    assert settled, (seed, voting_set(w))
+    return c
+
+
+def voting_set(w):
+    m = w.master()
+    return m.machine.vc() if m else None
+
+
+def is_settled(w, size):
+    vc = voting_set(w)
+    odd = size - 1 + size % 2
+    return bool(vc) and vc['committed'] == vc['accepted'] and len(vc['accepted']) == odd
+
+
+def voters_of(w):
+    """The processes that vote, the master first."""
+    ids = voting_set(w)['accepted']
+    nodes = [n for n in w.of('core') if n.up and n.machine.node in ids]
+    return sorted(nodes, key=lambda n: (n is not w.master(), n.name))
+
+
+def newest_commit(w):
+    return max(n.machine.rep.committed for n in w.of('core') if n.machine)
+
+
+def leads_since(w, before):
+    """Whether a master has put something into force that is newer than `before`."""
+    m = w.master()
+    return m is not None and m.machine.rep.committed > before
+
+
+def recovery_time(w, victims):
+    """Cut the power of the victims for good; ms until a master puts something into force, None if none does."""
+    before = newest_commit(w)
+    for victim in victims:
+        # Nothing resets its connections when a machine loses power.
+        w.isolate(victim.name)
+        victim.scrapped = True
+        victim.kill(power=True)
+    start = w.now
+    led = w.run(RECOVERY_MOST, lambda: leads_since(w, before))
+    return seam.to_ms(w.now - start) if led else None
+
+
+class SetWatch:
+    """Counts the steps of the voting set that come into force: each change is two, joint and new."""
+
+    def __init__(self, w):
+        self.w, self.steps, self.last = w, 0, voting_set(w)
+
+    def look(self):
+        newest = max((n.machine for n in self.w.of('core') if n.up), key=lambda m: m.rep.committed)
+        vc = newest.rep.get('meta', 'vc')
+        if newest.rep.committed > (0, 0) and vc != self.last:
+            self.steps, self.last = self.steps + 1, vc
+        return False
+
+
+def stop_for_good(w, node):
+    node.scrapped = True
+    node.feed('stop')
+
+
+def wipe(w, node):
+    """Power and disk lost; back empty under the same address after a while."""
+    node.kill(power=True)
+    node.disk = world.Disk()
+    w.after(WIPED_AWAY, node.start)
+
+
+def first_event(w, event):
+    """Bring it about to a voter that does not lead, or to the master; returns whom it befell."""
+    who = voters_of(w)[0 if 'master' in event else 1]
+    (stop_for_good if 'ends' in event else wipe)(w, who)
+    return who
+
+
+def others_up(w, hit):
+    """The control nodes that are still there, the master first if one is known."""
+    here = [n for n in w.of('core') if n.up and n is not hit]
+    return sorted(here, key=lambda n: (n is not w.master(), n.name))
+
+
+def voters_left(w, hit):
+    ids = max((n.machine for n in others_up(w, hit)), key=lambda m: m.rep.accepted).vc()['accepted']
+    return [n for n in others_up(w, hit) if n.machine.node in ids]
+
+
+def second_loss(seed, event, delay, second):
+    """ms from the second loss until a master puts something into force; None if never."""
+    w = build(seed, 3, 1 if 'ends' in event else 0).world
+    hit = first_event(w, event)
+    w.run(ms(delay))
+    left = voters_left(w, hit)
+    return recovery_time(w, [left[0 if second == 'the master' else -1]])
+
+
+def bears_one_without(w, gone):
+    """Whether a settled set without the identity `gone` has a majority and one voter more that answer."""
+    m = w.master()
+    if m is None:
+        return False
+    vc = m.machine.rep.get('meta', 'vc')
+    live = {m.machine.node} | {n for n, p in m.machine.peers.items() if p.role == 'core'}
+    settled = vc['committed'] == vc['accepted'] and gone not in vc['accepted']
+    return settled and len(live & set(vc['accepted'])) > len(vc['accepted']) // 2 + 1
+
+
+def time_to_bear(seed, event):
+    """ms from the leave's acknowledgement, or the wiped one's return, until one more loss is borne."""
+    w = build(seed, 3, 1 if 'ends' in event else 0).world
+    gone = voters_of(w)[0 if 'master' in event else 1].machine.node
+    hit = first_event(w, event)
+    if 'ends' in event:
+        assert w.run(ms(8000), lambda: hit.machine.released), seed
+    else:
+        w.run(WIPED_AWAY)
+    start = w.now
+    assert w.run(ms(20000), lambda: bears_one_without(w, gone)), seed
+    return seam.to_ms(w.now - start)
+
+
+def rolling_restart(seed, voters, spares, back):
+    """Every control node told to stop, and started with its disk `back` after; (steps of the set, restarts)."""
+    w = build(seed, voters, spares).world
+    watch = SetWatch(w)
+    nodes = list(w.of('core'))
+    for n in nodes:
+        n.feed('stop')
+        assert w.run(ms(10000), lambda n=n: watch.look() or not n.up), n.name
+        w.run(back, watch.look)
+        n.start()
+        w.run(ms(6000), watch.look)
+    return watch.steps, len(nodes)
+
+
+@behave.when('{event}, and {second} loses power {delay:d} ms later, under seeds 1 to 3')
+def _(context, event, second, delay):
+    context.recoveries = [second_loss(seed, event, delay, second) for seed in (1, 2, 3)]
+
+
+@behave.then('a master has put something into force within 5 s of the second loss, under each')
+def _(context):
+    assert all(r is not None and r <= 5000 for r in context.recoveries), context.recoveries
+
+
+@behave.when('{event}, under seeds 1 to {n:d}, until one more loss is borne')
+def _(context, event, n):
+    context.times = sorted(time_to_bear(seed, event) for seed in range(1, n + 1))
+
+
+@behave.then('that took 300 ms at most, under each')
+def _(context):
+    assert context.times[-1] <= 300, context.times
+
+
+@behave.when('{cores:d} control nodes, {voters:d} of them voters, are restarted in turn under seeds 1 to 3')
+def _(context, cores, voters):
+    context.rolled = [rolling_restart(seed, voters, cores - voters, RESTART_AWAY) for seed in (1, 2, 3)]
+
+
+@behave.then('the voting set took {most:d} steps at most for each restart')
+def _(context, most):
+    assert all(steps <= most * restarts for steps, restarts in context.rolled), context.rolled
+
+
+@behave.given('five voters under seeds 1 to 3')
+def _(context):
+    context.worlds = [build(seed, 5).world for seed in (1, 2, 3)]
+
+
+@behave.when('two that do not lead are wiped at once and are back after 800 ms, empty')
+def _(context):
+    context.hit = {}
+    for w in context.worlds:
+        context.hit[w] = voters_of(w)[1:3]
+        for n in context.hit[w]:
+            wipe(w, n)
+        w.run(WIPED_AWAY + ms(300))
+
+
+@behave.then('two more that were never wiped may lose power one after the other, 3 s apart')
+def _(context):
+    for w in context.worlds:
+        for _ in range(2):
+            left = [n for n in voters_of(w) if n not in context.hit[w]]
+            took = recovery_time(w, [left[0]])
+            assert took is not None and took <= 5000, (w.seed, took, voting_set(w))
+            w.run(ms(3000))
+
+
+@behave.given('three voters and a spare under seeds 1 to 3')
+def _(context):
+    context.worlds = [build(seed, 3, 1).world for seed in (1, 2, 3)]
+
+
+@behave.when('the seeds of all are swapped while a voter ends for good and one more control node starts')
+def _(context):
+    for w in context.worlds:
+        hit = voters_of(w)[1]
+        seeds = [n.place.addr for n in w.of('core') if n is not hit]
+        for n in w.nodes.values():
+            place = partner.Place(n.place.addr, n.place.http, n.place.cell, seeds, n.place.front, n.place.directory)
+            n.feed('settings', place, w.bounds)
+        stop_for_good(w, hit)
+        context.replaced = hit
+        w.add('late', 'core', hit.place.cell, seeds).start()
+        w.run(ms(1500))
+
+
+@behave.then('a second and, 3 s later, a third voter may lose power')
+def _(context):
+    for w in context.worlds:
+        for _ in range(2):
+            took = recovery_time(w, [voters_of(w)[0]])
+            assert took is not None and took <= 5000, (w.seed, took, voting_set(w))
+            w.run(ms(3000))
+
+
+@behave.when('a voter ends for good and the spare loses power {delay:d} ms later')
+def _(context, delay):
+    for w in context.worlds:
+        stop_for_good(w, voters_of(w)[1])
+        w.run(ms(delay))
+        spare = w.nodes['spare0']
+        w.isolate('spare0')
+        spare.scrapped = True
+        spare.kill(power=True)
+
+
+@behave.then('a master goes on, three vote, and a new control node takes a place that is free')
+def _(context):
+    for w in context.worlds:
+        w.run(ms(3000))
+        assert w.master() and len(voting_set(w)['accepted']) == 3, (w.seed, voting_set(w))
+        late = w.add('late', 'core', 'r0/c0', w.nodes['dir0'].place.seeds)
+        late.start()
+        assert w.run(ms(6000), lambda w=w: bears_one_without(w, '')), (w.seed, voting_set(w))
+        assert late.machine.node in voting_set(w)['accepted']
+
+
+def joint_somewhere(w, moment):
+    """Whether a change of the voting set has come as far as `moment`."""
+    vcs = [(n.machine.rep.get('meta', 'vc'), n.machine.vc()) for n in w.of('core') if n.up]
+    if moment == 'is accepted by one':
+        return any(new['committed'] != new['accepted'] for _, new in vcs)
+    if moment == 'is accepted by all':
+        return sum(new['committed'] != new['accepted'] for _, new in vcs) >= 3
+    if moment == 'is in force at one':
+        return any(old['committed'] != old['accepted'] for old, _ in vcs)
+    return any(old['committed'] != old['accepted'] and new['committed'] == new['accepted'] for old, new in vcs)
+
+
+@behave.when('a voter leaves and all lose power as the joint change {moment}')
+def _(context, moment):
+    context.before = {}
+    context.hit = {}
+    for w in context.worlds:
+        context.hit[w] = voters_of(w)[1]
+        context.hit[w].feed('stop')
+        assert w.run(ms(2000), lambda w=w: joint_somewhere(w, moment)), w.seed
+        context.before[w] = newest_commit(w)
+        for n in w.of('core'):
+            n.kill(power=True)
+
+
+@behave.when('all but the leaver are back')
+def _(context):
+    for w in context.worlds:
+        w.run(ms(500))
+        for n in w.of('core'):
+            if n is not context.hit[w]:
+                n.start()
+        w.run(ms(8000))
+
+
+@behave.then('one leads with all that was in force, under a settled set of three')
+def _(context):
+    for w in context.worlds:
+        m = w.master()
+        assert m and len(w.masters()) == 1, (w.seed, [n.name for n in w.masters()])
+        assert m.machine.rep.committed > context.before[w], w.seed
+        vc = m.machine.rep.get('meta', 'vc')
+        assert vc['committed'] == vc['accepted'] and len(vc['accepted']) == 3, (w.seed, vc)
+
+
+class VoteWatch:
+    """Notes votes that a wiped process has no right to, from frames as they are delivered."""
+
+    def __init__(self, w, node):
+        self.node, self.old = node, node.machine.node
+        self.wrong = []
+        w.on_deliver = self.look
+
+    def look(self, src, dst, text):
+        if src is not self.node or not src.up:
+            return
+        frame = json.loads(text)
+        if frame['f'] == self.old and src.life > 1:
+            self.wrong.append(('under its old identity', frame['t']))
+        if frame['t'] in ('vote', 'prevote_re') and tuple(frame['accepted']) == (0, 0):
+            self.wrong.append(('with nothing', frame['t']))
+
+
+@behave.when('one is wiped, and the master loses power {delay:d} ms after it is back')
+def _(context, delay):
+    context.watches, context.wiped = {}, {}
+    for w in context.worlds:
+        who = voters_of(w)[1]
+        context.watches[w] = VoteWatch(w, who)
+        since = w.now
+        wipe(w, who)
+        w.run(WIPED_AWAY + ms(delay))
+        took = recovery_time(w, [voters_of(w)[0]])
+        assert took is not None and took <= 5000, (w.seed, took)
+        context.wiped[w] = since, w.master().machine.rep.get('meta', 'vc')
+
+
+@behave.then('it votes neither as who it was nor with an empty disk, and no master counts a vote from outside its set')
+def _(context):
+    for w in context.worlds:
+        assert not context.watches[w].wrong, (w.seed, context.watches[w].wrong)
+        old = context.watches[w].old
+        for n in w.of('core'):
+            for at, _, fields in n.told:
+                if fields and fields['event'] == 'lead' and at >= context.wiped[w][0]:
+                    assert old not in fields['votes'], (w.seed, fields)
+                    # A vote counts only by the sets that the new master itself had accepted.
+                    assert replica.quorum_both(fields['votes'], context.wiped[w][1]), (w.seed, fields)
+
+
+@behave.when('a voter is told to stop')
+def _(context):
+    context.left = {}
+    for w in context.worlds:
+        who = voters_of(w)[1]
+        gone = who.machine.node
+        who.feed('stop')
+        assert w.run(ms(8000), lambda who=who: not who.up), w.seed
+        context.left[w] = gone, who
+
+
+@behave.then('it has ended within a second, and a set without it was committed before')
+def _(context):
+    for w in context.worlds:
+        gone, who = context.left[w]
+        vc = w.master().machine.rep.get('meta', 'vc')
+        assert gone not in vc['committed'] and gone not in vc['accepted'] and len(vc['accepted']) == 3, (w.seed, vc)
+        told = [(at, what) for at, name, what, _ in w.marks if name == who.name]
+        assert told[-1][1] == 'exit' and told[-1][0] - told[-2][0] <= ms(1000), told
+
+
+@behave.given('three voters and no spare under seeds 1 to 3')
+def _(context):
+    context.worlds = [build(seed, 3).world for seed in (1, 2, 3)]
+
+
+@behave.then('it has ended within a second, and it votes still')
+def _(context):
+    for w in context.worlds:
+        gone, who = context.left[w]
+        assert gone in voting_set(w)['accepted'] and len(voting_set(w)['accepted']) == 3
+        told = [(at, what) for at, name, what, _ in w.marks if name == who.name]
+        assert told[-1][1] == 'exit' and told[-1][0] - told[-2][0] <= ms(1000), told
+
+
+@behave.then('the master tells that it bears {n:d} more losses, and that it waits for {what}')
+def _(context, n, what):
+    for w in context.worlds:
+        status = w.master().machine.status()
+        assert status['losses_borne'] == n, (w.seed, status['losses_borne'], status['voting_set_waits'])
+        waits = status['voting_set_waits']
+        assert (waits == []) if what == 'nothing' else any(what in text for text in waits), (w.seed, waits)
+        rows = {row[1]: row[3] for row in w.master().machine.measures() if 'losses_borne' in str(row[1])}
+        assert rows, 'no metric'
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -144,6 +144,9 @@
         self.offers = {}
         self.faulty = {}
         self.vc_gone = {}
+        self.leavers = {}
+        self.caught_up = set()
+        self.voting_set_change = None
         self.rounds = {}
         self.quorum_at = self.now
         self.quorum_round = self.round
@@ -198,7 +201,7 @@
         self.unmastered()
         self.alarm('find', seam.ZERO)
         if self.stopping:
-            self.alarm('exit', seam.ms(300))
+            self.leave_as_follower()
 
     def followed(self):
         super().followed()
@@ -206,4 +209,4 @@
         self.votes = self.prevotes = None
         self.alarms.pop('elect', None)
         if self.stopping:
-            self.tell(self.master['addr'], 'leave')
+            self.leave_under_master()
--- a/zinctrail/agree/leaving.py
+++ b/zinctrail/agree/leaving.py
@@ -1,42 +1,93 @@
-"""A voter that was told to stop hands over."""
+"""A voter that was told to stop hands over, and ends once its place in the voting set is taken."""
 
 import zinctrail.seam as seam
 
+# How long a leaving node stays for those that still turn to it, also where nothing else is to be done.
+STAY = seam.ms(300)
+# How long one stays that follows no master and votes nowhere.
+STAY_ALONE = seam.ms(100)
+# How long a leaving master tries to hand over.
+HAND_OVER_MOST = seam.ms(1500)
+# How often an unanswered word is said again.
+SAY_EVERY = seam.ms(150)
+
 
 class Leaving:
-    """A voter that was told to stop hands over."""
+    """A voter that was told to stop hands over, and ends once its place in the voting set is taken."""
 
     def leave_wait(self):
-        return seam.ms(1500)
+        return HAND_OVER_MOST
 
     def on_stop(self):
-        if self.mode == 'leader' and not self.stopping:
-            self.stopping = True
+        if self.stopping:
+            return
+        self.stopping = True
+        self.leave_from = self.now + STAY
+        # Half of the grace: what the process does after this must fit in it as well.
+        self.leave_by = self.now + max(HAND_OVER_MOST, self.bounds.grace / 2)
+        self.log('Leaves.', 'leave', node=self.node)
+        if self.mode == 'leader':
             self.name_successor()
             self.alarm('exit', self.leave_wait())
-            return
-        super().on_stop()
-        if not self.master or self.mode == 'candidate':
-            self.alarm('exit', seam.ms(100))
         else:
-            self.alarm('exit', seam.ms(300))
+            self.leave_as_follower()
+
+    def leave_as_follower(self):
+        """Stay until the master lets us go; without a master, a voter stays a while for the next one."""
+        if self.unfit:
+            # It hears nothing that a master says.
+            self.alarm('exit', STAY)
+        elif self.master and self.mode == 'follower':
+            self.leave_under_master()
+        elif self.votes_now():
+            self.alarm('exit', HAND_OVER_MOST)
+        else:
+            self.alarm('exit', STAY_ALONE)
+
+    def leave_under_master(self):
+        if not self.released:
+            self.alarm('exit', max(STAY, self.leave_by - self.now))
+            self.say_leaving()
+
+    def votes_now(self):
+        vc = self.vc()
+        return bool(vc) and self.node in (*vc['accepted'], *vc['committed'])
+
+    def say_leaving(self):
+        """Tell the master, again until it answers: a frame may be lost, and masters change."""
+        if self.master and self.mode == 'follower':
+            self.tell(self.master['addr'], 'leave', waits=True)
+            self.alarm('say_leaving', SAY_EVERY)
+
+    def alarm_say_leaving(self):
+        self.say_leaving()
+
+    def m_leave_re(self, env):
+        """The master needs us no more: a set without us is committed, or nobody can take our place."""
+        if not self.stopping or self.mode == 'leader':
+            return
+        self.released = True
+        self.alarms.pop('say_leaving', None)
+        self.alarm('exit', max(seam.ZERO, self.leave_from - self.now))
 
     def name_successor(self):
         vc = self.vc()
-        able = [p for n, p in sorted(self.peers.items()) if n in vc['accepted'] and p.accepted]
+        able = [
+            p for n, p in sorted(self.peers.items()) if n in vc['accepted'] and p.accepted and n not in self.leavers
+        ]
         if able:
-            # Why the furthest, then who answered last: it wins at once and is the surest to be there.
+            # The furthest, then who answered last: it wins at once and is the surest to be there.
             p = max(able, key=lambda p: (p.accepted, p.ack_at))
             self.log(f'Names {p.node} successor.', 'successor', term=self.term, node=p.node)
             self.tell(p.addr, 'succeed', term=self.term)
-        self.alarm('succ', seam.ms(150))
+        self.alarm('succ', SAY_EVERY)
 
     def alarm_succ(self):
         if self.mode == 'leader':
             self.name_successor()
 
     def m_succeed(self, env):
-        # Why without a pre-vote: the master itself says that it goes.
+        # Without a pre-vote: the master itself says that it goes.
         if env['term'] == self.term and self.mode == 'follower' and not self.unfit and not self.stopping:
             for node, row in self.rep.get('members').items():
                 if row['role'] == 'core':
--- a/zinctrail/agree/membership.py
+++ b/zinctrail/agree/membership.py
@@ -14,7 +14,8 @@
         # Why those on their way too: a newcomer of the generation behind this one is offered it already.
         coming = {n for n, row in self.rep.whole_of('members').items() if row}
         for node in [n for n in self.peers if n not in rows and n not in coming]:
-            del self.peers[node]
+            # Absent since it was last heard, not since that was noticed.
+            self.vc_gone[node] = self.peers.pop(node).ack_at
         for node, row in rows.items():
             p = self.add_peer(node, row)
             if p:
@@ -39,6 +40,8 @@
             # Why: it can follow no term below its own, so we need a newer one to have it.
             self.deposed(env['term'])
             return
+        # Who leaves asks to join no more, so that it has been started again.
+        self.leavers.pop(env['f'], None)
         p = self.peers.get(env['f'])
         self.joined_at[env['f']] = partner.tup(env['accepted'])
         if p is not None:
@@ -57,8 +60,20 @@
         self.submit(lambda txn: transactions.add_member(txn, node, row), lambda res: None)
 
     def m_leave(self, env):
+        if self.mode != 'leader':
+            return
         p = self.peers.get(env['f'])
-        if self.mode == 'leader' and p:
+        waits = env.get('waits', False)
+        if p is None:
+            if waits:
+                # It was let go before, and that answer was lost.
+                self.tell(env['a'], 'leave_re')
+        elif p.role == 'core' and waits:
+            self.leavers.setdefault(p.node, self.now)
+            self.reconfigure()
+        else:
+            if p.role == 'core':
+                self.leavers.setdefault(p.node, self.now)
             self.fault_member(p, 'left')
 
     def on_lost(self, addr):
@@ -72,6 +87,7 @@
         if self.faulty.get(node, seam.ZERO) > self.now - seam.ms(1000) and node in self.faulty:
             return
         self.faulty[node] = self.now
+        self.caught_up.discard(node)
         self.log(
             f'Member {node} ({p.role} {p.addr}) is gone: {why}.', 'gone', node=node, role=p.role, addr=p.addr, why=why
         )
--- a/zinctrail/agree/replication.py
+++ b/zinctrail/agree/replication.py
@@ -191,6 +191,7 @@
     def answered(self, p):
         """It has all up to what it says it accepted: one master a term makes one line of generations."""
         if p.accepted[0] == self.term:
+            self.note_caught_up(p)
             news = False
             for f in self.flights:
                 if f['at'] > p.accepted:
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -43,6 +43,8 @@
 
     def __init__(self, place, bounds, rng, files=None):
         node, cluster, term, vote, rep = journal.load(files or {})
+        # Where each control node was last heard of: {node: address}.
+        self.addresses = {}
         super().__init__(place, bounds, rng, node or '')
         self.fresh = node is None
         self.files = set(files or {})
@@ -89,6 +91,16 @@
         self.quorum_round = 0
         self.faulty = {}
         self.vc_gone = {}
+        # The members that said they leave, as the master knows: {node: when}.
+        self.leavers = {}
+        # The control nodes that had caught up at least once in this term.
+        self.caught_up = set()
+        # The change of the voting set that waits in the line, and when the last one came into force here.
+        self.voting_set_change = None
+        self.set_changed_at = None
+        # When told to stop, the earliest and the latest that it ends.
+        self.leave_from = self.leave_by = seam.ZERO
+        self.released = False
         self.counts = collections.Counter()
         # Keys of the asks of others that are being done.
         self.asked = set()
@@ -111,6 +123,12 @@
             'voter', 'Whether it is in the voting set.', int(self.node in (self.vc() or {}).get('accepted', ()))
         )
         if self.mode == 'leader':
+            yield measures.gauge(
+                'losses_borne', 'Voters that may be lost now and a majority still be there.', self.losses_borne()
+            )
+            yield measures.gauge(
+                'voting_set_waits', 'What a better voting set waits for: how many things.', len(self.voting_set_waits())
+            )
             yield measures.by(
                 measures.GAUGE,
                 'members',
@@ -134,6 +152,8 @@
         s.update(
             unfit=self.unfit,
             voters=self.vc(),
+            losses_borne=self.losses_borne(),
+            voting_set_waits=self.voting_set_waits(),
             counts=dict(self.counts),
             queue=len(self.tasks),
             members={
--- a/zinctrail/prog/ztctl.py
+++ b/zinctrail/prog/ztctl.py
@@ -235,6 +235,11 @@
         f'unapplied for {m["unapplied_ms"]} ms at most  least lease left {m["least_lease_ms"]} ms'
         f'  oldest claim {m["oldest_claim_epochs"]} epochs'
     )
+    if s.get('losses_borne') is not None:
+        print(
+            f'bears the loss of {max(0, s["losses_borne"])} more voters'
+            f'  waits for: {"; ".join(s["voting_set_waits"]) or "nothing"}'
+        )
     table(
         [('member', 'role', 'cell', 'http', 'votes', 'answered', 'leased', 'behind')]
         + [
