--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -145,6 +145,9 @@
         self.offers = {}
         self.faulty = {}
         self.vc_gone = {}
+        self.leavers = {}
+        self.caught_up = set()
+        self.voting_set_change = None
         self.rounds = {}
         self.quorum_at = self.now
         self.quorum_round = self.round
@@ -210,7 +213,7 @@
         self.contact_reset()
         self.alarm('find', seam.ZERO)
         if self.stopping:
-            self.alarm('exit', seam.ms(300))
+            self.leave_as_follower()
 
     def followed(self):
         super().followed()
@@ -218,4 +221,4 @@
         self.votes = self.prevotes = None
         self.alarms.pop('elect', None)
         if self.stopping:
-            self.tell(self.master['addr'], 'leave')
+            self.leave_under_master()
