Elections: a new leader takes members to hold its state until they refuse it

Change: as usual in replication by log, the first version goes out as a change on what the leader holds; who holds something else refuses it and is sent what it lacks.

--- /dev/null
+++ b/features/steps/core_returns_steps.py
@@ -0,0 +1,97 @@
+"""The whole core starts again with a large state: virtual time, links of a limited rate, wire-encoded frames."""
+
+import behave
+
+import zinctrail.seam as seam
+import zinctrail.sim.scale as scale
+
+BITS = 8
+
+
+class SlowLinks(scale.Rig):
+    """Each process has one link of a limited rate, which carries all that it sends in the order of sending."""
+
+    def __init__(self, size, seed, core_mbps, proxy_mbps):
+        self.mbps = {'core': core_mbps, 'prox': proxy_mbps}
+        self.free_at = {}
+        self.whole_sent = []
+        super().__init__(size, seed)
+        for process in self.cores:
+            # A control node at the start of a sweep is told what its members hold; here it has to find out.
+            process.machine.warm = False
+            members = process.machine.rep.tables['members']
+            # The worst order of sending: whoever decides about the leader comes last.
+            in_order = dict(sorted(members.items(), key=lambda item: item[1]['role'] == 'core'))
+            members.clear()
+            members.update(in_order)
+
+    def carry(self, src, addr, msg, packs):
+        if 'full' in msg:
+            self.whole_sent.append(addr)
+        size = len(src.links.encoded(msg, packs))
+        seconds = size * BITS / (self.mbps[src.role] * 1e6)
+        begin = max(self.now, self.free_at.get(src.addr, seam.ZERO))
+        self.free_at[src.addr] = begin + seam.ms(1000 * seconds)
+        self.at(self.free_at[src.addr], super().carry, src, addr, msg, packs)
+
+
+@behave.given('{cores:d} control nodes and {nodes:d} proxies with {routes:d} routes, whose links carry {core_mbps:d} Mbit/s and {proxy_mbps:d} Mbit/s')  # fmt: skip
+def _(context, cores, nodes, routes, core_mbps, proxy_mbps):
+    context.size = scale.Size(nodes=nodes, dirs=0, cores=cores, routes=routes)
+    context.mbps = core_mbps, proxy_mbps
+
+
+@behave.given('the proxies hold the routes and the control nodes start from their disks, under seed {seed:d}')
+def _(context, seed):
+    context.rig = SlowLinks(context.size, seed, *context.mbps)
+
+
+@behave.given('one of these proxies holds nothing')
+def _(context):
+    machine = context.rig.of('prox')[-1].machine
+    machine.rep.__init__()
+    assert machine.rep.accepted == (0, 0)
+
+
+@behave.when('{seconds:d} s go by at the returned core')
+def _(context, seconds):
+    rig = context.rig
+    context.leased_at = {}
+
+    def look():
+        for process in rig.of('prox'):
+            if process.up and process.machine.leased():
+                context.leased_at.setdefault(process.addr, rig.now)
+        rig.at(rig.now + seam.ms(10), look)
+
+    for process in rig.procs:
+        rig.at(seam.ms(20 * rig.rng.random()), rig.start_one, process)
+    look()
+    rig.run(seam.ms(1000 * seconds))
+
+
+@behave.then('the returned core has one leader, chosen in at most {most:d} terms')
+def _(context, most):
+    machines = [process.machine for process in context.rig.cores]
+    leaders = [m for m in machines if m.mode == 'leader' and m.rep.committed[0] == m.term]
+    terms = [m.term for m in machines]
+    # The state on the disks is of term 1.
+    assert len(leaders) == 1 and max(terms) - 1 <= most, (len(leaders), terms)
+
+
+@behave.then('every proxy got a lease from the returned core within {most:d} ms of its start')
+def _(context, most):
+    proxies = context.rig.of('prox')
+    late = {p.addr: context.leased_at.get(p.addr) for p in proxies}
+    late = {addr: at for addr, at in late.items() if at is None or at > seam.ms(most)}
+    assert not late, f'{len(late)} of {len(proxies)}: {sorted(map(str, late.values()))[-5:]}'
+
+
+@behave.then('no member was sent a whole state that it held')
+def _(context):
+    assert not context.rig.whole_sent, len(context.rig.whole_sent)
+
+
+@behave.then('one member was sent a whole state')
+def _(context):
+    assert context.rig.whole_sent == [context.rig.of('prox')[-1].addr], len(context.rig.whole_sent)
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -147,9 +147,9 @@
         self.rounds = {}
         self.quorum_at = self.now
         self.quorum_round = self.round
-        for node, row in self.rep.whole().get('members', {}).items():
-            if node != self.node:
-                self.peers[node] = peers.Peer(node, row, self.now)
+        for node, row in self.rep.whole_of('members').items():
+            if node != self.node and row is not None:
+                self.peers[node] = self.assume_caught_up(peers.Peer(node, row, self.now))
         joins[self.node] = self.member()
 
         def first(txn):
@@ -162,6 +162,16 @@
         self.submit(first, lambda res: res['status'] == 200 and self.mastered())
         self.alarm('chk', seam.ZERO)
 
+    def assume_caught_up(self, peer):
+        """Take a member to hold what we hold, until it answers otherwise.
+
+        Nearly always it does. A whole state for each member would fill our link for longer than
+        voters wait for a leader, and one of them would stand for the next term. A member that
+        holds something else refuses the first version and tells what it holds.
+        """
+        peer.sent = self.latest_for(peer)
+        return peer
+
     def mastered(self):
         """The first generation of our term is in force: what waited for a master is served."""
         # Why at once: many have no lease yet, and what they answer from here on makes one.
