Routes: members by role and fronts by cell are kept until the next change

Cause: a standing answer and each request's share of connections went through all members. Change: worked out once a change; a standing answer draws the few fronts it names.

--- a/zinctrail/ctl/routes.py
+++ b/zinctrail/ctl/routes.py
@@ -3,14 +3,21 @@
 import zinctrail.agree.partner as partner
 import zinctrail.ctl.config as config
 
+# For how many cells the fronts are kept between two changes.
+CELLS_KEPT = 1000
+
 
 class Routes:
     def __init__(self, rep):
         self.rep = rep
         self.fresh = False
+        self.members_by_role = None
+        self.fronts_by_cell = {}
 
     def stale(self):
         self.fresh = False
+        self.members_by_role = None
+        self.fronts_by_cell = {}
 
     def _work_out(self):
         if self.fresh:
@@ -130,4 +137,36 @@
         return n + (1 if pools.index(pool) < left else 0)
 
     def members(self, role):
-        return {n: m for n, m in self.rep.get('members').items() if m['role'] == role}
+        """{node: row} of a role, not to be changed. Kept until the next change: requests and answers ask for it."""
+        if self.members_by_role is None:
+            self.members_by_role = {}
+            for node, row in self.rep.get('members').items():
+                self.members_by_role.setdefault(row['role'], {})[node] = row
+        return self.members_by_role.get(role, {})
+
+    def fronts(self, cell):
+        """The fronts of open traffic that stay, as seen from a cell, not to be changed.
+
+        Three tuples of addresses: in the cell, else in its region, elsewhere. Kept until the next change.
+        """
+        found = self.fronts_by_cell.get(cell)
+        if found is None:
+            # A cell that nobody configured comes out of a request: how many are kept has to be bounded.
+            if len(self.fronts_by_cell) >= CELLS_KEPT:
+                self.fronts_by_cell.clear()
+            found = self.fronts_by_cell[cell] = self._fronts_from(cell)
+        return found
+
+    def _fronts_from(self, cell):
+        region = self.region(cell)
+        in_cell, in_region, elsewhere = [], [], []
+        for member in self.members('prox').values():
+            if not member.get('front') or member.get('leaving'):
+                continue
+            if member['cell'] == cell:
+                in_cell.append(member['front'])
+            elif self.region(member['cell']) == region:
+                in_region.append(member['front'])
+            else:
+                elsewhere.append(member['front'])
+        return tuple(in_cell), tuple(in_region), tuple(elsewhere)
--- a/zinctrail/dir/standing.py
+++ b/zinctrail/dir/standing.py
@@ -34,7 +34,7 @@
         answer(self.standing_open(cell, most) if front else self.standing(home, cell, most))
 
     def others(self, role):
-        return sorted(m['http'] for n, m in self.rep.get('members').items() if m['role'] == role and n != self.node)
+        return sorted(m['http'] for n, m in self.routes.members(role).items() if n != self.node)
 
     def standing(self, home, cell, most):
         region = self.routes.region(cell)
@@ -66,19 +66,12 @@
 
     def standing_open(self, cell, most):
         """The fronts for open traffic: the cell's own, with the region's where those are few."""
-        region = self.routes.region(cell)
-        good = [m for m in self.routes.members('prox').values() if m.get('front') and not m.get('leaving')]
-        tiers = [
-            [m['front'] for m in good if m['cell'] == cell],
-            [m['front'] for m in good if m['cell'] != cell and self.routes.region(m['cell']) == region],
-            [m['front'] for m in good if self.routes.region(m['cell']) != region],
-        ]
         fronts = []
-        for tier in tiers:
+        for tier in self.routes.fronts(cell):
             # Why two at least: a requester whose only proxy has just gone would have nowhere else to turn.
             if len(fronts) < 2:
-                self.rng.shuffle(tier)
-                fronts += tier
+                # Drawn, not shuffled whole: an answer must not cost more the more proxies there are.
+                fronts += self.rng.sample(tier, min(len(tier), most))
         if not fronts:
             raise faults.CallFault(503, 'no proxy may carry this now', retry_ms=1000)
         ttl = min(self.bounds.answer, self.lease_left())
