--- /dev/null
+++ b/zinctrail/model/__init__.py
@@ -0,0 +1,1 @@
+"""A model checker for the agreement: the product's own state machines, explored in every order."""
--- /dev/null
+++ b/zinctrail/model/guards.py
@@ -0,0 +1,107 @@
+"""The guards that carry the invariants, and how each is switched off.
+
+An invariant that stays whole with its guard off is either carried by something
+else too, or the scope is too small to show it.
+"""
+
+import contextlib
+import unittest.mock
+
+import zinctrail.agree.elections as elections
+import zinctrail.agree.leases as leases
+import zinctrail.agree.partner as partner
+import zinctrail.agree.replica as replica
+import zinctrail.agree.replication as replication
+import zinctrail.agree.transactions as transactions
+import zinctrail.agree.voter as voter
+
+
+def forget_the_vote(machine, term, vote=None):
+    """The term and the vote are not written."""
+    machine.term, machine.vote, machine.votes = term, vote, None
+
+
+def vote_again(machine, env):
+    """A second candidate of the same term gets a vote, too."""
+    if env['term'] == machine.term and machine.mode == 'candidate':
+        machine.term -= 1
+    MEET_CANDIDATE(machine, env)
+
+
+def any_third(nodes, config):
+    return bool(config) and 3 * len(set(nodes) & set(config)) >= len(config)
+
+
+def count_any_vote(machine, env):
+    COUNT_VOTE(machine, dict(env, accepted=[0, 0]))
+
+
+def count_any_prevote(machine, env):
+    COUNT_PREVOTE(machine, dict(env, accepted=[0, 0]))
+
+
+def fits_any_base(self, at, base, full):
+    return at > self.accepted
+
+
+def fits_any_time(self, at, base, full):
+    return full or base == self.accepted
+
+
+def answered_in_any_term(self, peer):
+    """What a member accepted counts for this term's generations whatever its term."""
+    accepted = peer.accepted
+    peer.accepted = (self.term, accepted[1])
+    ANSWERED(self, peer)
+    peer.accepted = accepted
+
+
+def fence_at_once(machine, callback):
+    callback(True)
+
+
+def read_at_once(machine, fn, callback):
+    """A read before the first generation of the term is in force."""
+    machine.fence(lambda ok: read_view(machine, fn, callback))
+
+
+def follow_any_term(machine, env, pace=None):
+    return FOLLOW(machine, dict(env, term=max(env['term'], machine.term)), pace)
+
+
+MEET_CANDIDATE = elections.Elections.m_sjoin
+COUNT_VOTE = elections.Elections.m_vote
+COUNT_PREVOTE = elections.Elections.m_prevote_re
+ANSWERED = replication.Replication.answered
+FOLLOW = partner.Partner.follow
+
+
+def read_view(machine, fn, callback):
+    callback(transactions.View(machine.rep, machine.rep.committed, machine.now).run(fn))
+
+
+# {guard: (the scope that shows it, [(owner, attribute, replacement)])}
+GUARDS = {
+    'vote on disk': ('elections', [(voter.Voter, 'raise_term', forget_the_vote)]),
+    'one vote a term': ('elections', [(elections.Elections, 'm_sjoin', vote_again)]),
+    'majority': ('elections', [(replica, 'quorum', any_third)]),
+    'votes from those behind only': ('orders', [(elections.Elections, 'm_vote', count_any_vote)]),
+    'votes and pre-votes from those behind only': (
+        'orders',
+        [(elections.Elections, 'm_vote', count_any_vote), (elections.Elections, 'm_prevote_re', count_any_prevote)],
+    ),
+    'a generation fits its base': ('orders', [(replica.Replica, 'fits', fits_any_base)]),
+    'a generation is newer': ('orders', [(replica.Replica, 'fits', fits_any_time)]),
+    'answers count for their own term': ('orders', [(replication.Replication, 'answered', answered_in_any_term)]),
+    'a master of an older term is refused': ('orders', [(partner.Partner, 'follow', follow_any_term)]),
+    'reads wait for a quorum': ('reads', [(leases.Leases, 'fence', fence_at_once)]),
+}
+
+
+@contextlib.contextmanager
+def off(name):
+    """With a guard switched off."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, replacement in GUARDS[name][1]:
+            stack.enter_context(unittest.mock.patch.object(owner, attribute, replacement))
+        yield
