--- a/zinctrail/model/explorer.py
+++ b/zinctrail/model/explorer.py
@@ -348,7 +348,7 @@
             for new, answers in self.take(state, step):
                 self.report.steps += 1
                 bad = invariants.broken(new, new.history, answers, self.requests, self.scope.voters)
-                if bad:
+                if bad and self.confirmed(new.path()):
                     self.report.finding = Finding(*bad, new.path())
                     return
                 if max(node.view.term for node in new.nodes) > self.limits.term:
@@ -366,6 +366,16 @@
                 if self.progress and len(seen) % 10000 == 0:
                     self.progress(f'... {len(seen)} states, depth {state.depth}, {len(queue)} waiting')
 
+    def confirmed(self, steps):
+        """Whether the steps lead to a finding on machines of their own, without any state that stands for another."""
+        try:
+            if Explorer(self.scope, remember=False).replay(steps):
+                return True
+        except ValueError:
+            pass
+        self.report.cut_off['findings not confirmed'] += 1
+        return False
+
     def note_reached(self, state):
         reached, history = self.report.reached, state.history
         reached['leader'] += any(node.view.mode == 'leader' for node in state.nodes)
--- a/zinctrail/model/nodes.py
+++ b/zinctrail/model/nodes.py
@@ -124,7 +124,7 @@
 
     def machine_at(self, state):
         machine = self.machines.pop(state.digest, None)
-        if machine is not None and self.remember:
+        if machine is not None:
             return machine
         entries, at = [], state
         while at.entry is not None:
@@ -182,21 +182,24 @@
     def intern(self, before, machine, entry, files):
         folder = digest.of_text(json.dumps(files, sort_keys=True))
         name = digest.of_parts(bytes([before.index, before.life]), folder, digest.of_machine(machine))
-        if name not in self.states:
-            self.states[name] = NodeState(
-                before.index,
-                before.life,
-                files,
-                before.born_with,
-                before,
-                entry,
-                machine.due(),
-                self.view(machine),
-                name,
-            )
-        if len(self.machines) < 20000:
+        if self.remember and name in self.states:
+            # The machine is let go: times within one step of the digest's clock may differ from those of the state.
+            return self.states[name]
+        state = NodeState(
+            before.index,
+            before.life,
+            files,
+            before.born_with,
+            before,
+            entry,
+            machine.due(),
+            self.view(machine),
+            name,
+        )
+        if self.remember:
+            self.states[name] = state
             self.machines[name] = machine
-        return self.states[name]
+        return state
 
     def view(self, machine):
         status, replica = machine.status(), machine.rep
