--- a/zinctrail/agree/replication.py
+++ b/zinctrail/agree/replication.py
@@ -174,6 +174,9 @@
         p = self.peers.get(env['f'])
         if self.mode != 'leader' or p is None or env['term'] < self.term:
             return
+        if 'accepted' not in env:
+            # It refused a publication of an older term of ours, and says only which term it has reached.
+            return
         p.accepted = (
             max(p.accepted or (0, 0), partner.tup(env['accepted'])) if env['ok'] else partner.tup(env['accepted'])
         )
--- a/zinctrail/model/invariants.py
+++ b/zinctrail/model/invariants.py
@@ -96,6 +96,9 @@
     why = leader_completeness(state, history)
     if why:
         return 'leader_completeness', why
+    why = durability(state, history, voters)
+    if why:
+        return 'durability', why
     why = fresh_reads(history, answers, requests)
     if why:
         return 'fresh_reads', why
@@ -163,6 +166,15 @@
     return ''
 
 
+def durability(state, history, voters):
+    """What was acknowledged is held by a majority of the voters; `voters` is 0 where some lose their disks."""
+    for name, _ in history.acknowledged if voters else ():
+        holders = sum(name in node.view.holds for node in state.nodes)
+        if 2 * holders <= voters:
+            return f'{name} was acknowledged and is held by {holders} of {voters} voters'
+    return ''
+
+
 def fresh_reads(history, answers, requests):
     """A read shows all that was acknowledged before it was made."""
     for name, text in answers:
