--- a/features/steps/calls_data_steps.py
+++ b/features/steps/calls_data_steps.py
@@ -10,14 +10,14 @@
 import time
 
 import behave
+import open_steps
 import twisted.internet.protocol as protocol
 import twisted.internet.reactor as reactor
 
-import open_steps
+import zinctrail.agree.partner as partner
 import zinctrail.bounds as bounds
 import zinctrail.data.proxy as proxy
 import zinctrail.data.repeats as repeats
-import zinctrail.agree.partner as partner
 import zinctrail.edge.clock as clock
 import zinctrail.edge.dialect as dialect
 import zinctrail.edge.front as front
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,8 +1,8 @@
 import json
 
 import behave
-
 import control_steps
+
 import zinctrail.agree.journal as journal
 import zinctrail.agree.replica as replica
 import zinctrail.agree.transactions as transactions
--- a/zinctrail/model/digest.py
+++ b/zinctrail/model/digest.py
@@ -11,7 +11,21 @@
 TIME_MOST = 8
 # What has no influence on what a machine does: its surroundings, counters for people, caches.
 IGNORED = frozenset(
-    ('rng', 'tracer', 'place', 'bounds', 'counts', 'finds', 'bad_frames', 'out', 'now', 'offers', 'lost_why', 'views', 'named')
+    (
+        'rng',
+        'tracer',
+        'place',
+        'bounds',
+        'counts',
+        'finds',
+        'bad_frames',
+        'out',
+        'now',
+        'offers',
+        'lost_why',
+        'views',
+        'named',
+    )
 )
 PLAIN = frozenset((str, int, float, bool, bytes, type(None)))
 MAPPINGS = frozenset((dict, collections.OrderedDict, collections.Counter, collections.defaultdict))
--- a/zinctrail/model/explorer.py
+++ b/zinctrail/model/explorer.py
@@ -177,7 +177,9 @@
                 state = self.one(state, Step('request', places[more[1]], request=more[0]))
             else:
                 kind, source, target = more
-                for frame in [f for f in state.frames if (f.kind, f.source, f.target) == (kind, places[source], places[target])]:
+                for frame in [
+                    f for f in state.frames if (f.kind, f.source, f.target) == (kind, places[source], places[target])
+                ]:
                     state = self.one(state, Step('deliver', frame.target, frame.source, frame.text))
         return State(state.nodes, state.frames, state.history, (0,) * len(BUDGETS), state.put)
 
@@ -253,7 +255,9 @@
         used = list(state.used)
         frames, put = state.frames, state.put
         if step.kind in ('deliver', 'double'):
-            frame = next(f for f in frames if f.text == step.frame and f.target == step.node and f.source == step.source)
+            frame = next(
+                f for f in frames if f.text == step.frame and f.target == step.node and f.source == step.source
+            )
             if step.kind == 'deliver':
                 frames = frames - {frame}
             else:
@@ -297,9 +301,7 @@
                 again = self.nodes.start(node.index, node.life + 1, cut.files)
                 again = dataclasses.replace(again, sent=cut.sent + again.sent)
                 rest = self.closed(state, step.node, frames)
-                yield self.after(
-                    state, dataclasses.replace(step, cut=number), again, rest, tuple(used), put
-                )
+                yield self.after(state, dataclasses.replace(step, cut=number), again, rest, tuple(used), put)
 
     def until_it_acts(self, state, node):
         """The node's alarms one after another, to the first that others can see; the state before that, its result."""
--- a/zinctrail/model/nodes.py
+++ b/zinctrail/model/nodes.py
@@ -123,9 +123,7 @@
         """The place of a node that runs no more."""
         name = digest.of_parts(b'stopped', bytes([state.index]))
         view = dataclasses.replace(state.view, mode='stopped')
-        return NodeState(
-            state.index, state.life, state.files, state.files, None, None, None, view, name, stopped=True
-        )
+        return NodeState(state.index, state.life, state.files, state.files, None, None, None, view, name, stopped=True)
 
     def feed(self, state, *entry):
         """What an input makes of a node: ('wake', ()), ('recv', (text,)) or any other input of the machine."""
