--- a/features/cut_off.feature
+++ b/features/cut_off.feature
@@ -11,6 +11,7 @@
       | master cut from cores       | 1,2     |
       | master cut alone            | 3       |
       | master cut with a side      | 1,2     |
+      | master cut with a follower  | 1,2     |
       | master cut outwards         | 1,2     |
       | master cut inwards          | 1,2     |
       | master frozen               | 1,2     |
--- a/zinctrail/agree/contact.py
+++ b/zinctrail/agree/contact.py
@@ -14,9 +14,11 @@
 ROUND_OVERDUE = seam.ms(500)
 # How late a master's heartbeat may be before its followers stop relying on it.
 HEARTBEAT_OVERDUE = seam.ms(300)
-# How long a call put to the master may stay unanswered, while nothing else shows either that the master received
-# it: a link may have failed in one direction. A lease granted shows it, within about two heartbeats.
-ANSWER_OVERDUE = seam.ms(700)
+# How many heartbeats long a call put to the master may stay unanswered, while nothing else shows either that the
+# master received it: a link may have failed in one direction. A lease granted shows it, two heartbeats later.
+ANSWER_HEARTBEATS = 2
+# An alarm that comes so late tells that this process itself stood still.
+STOOD_STILL = seam.ms(50)
 # How long a node without a master waits for an election before it turns callers away.
 ELECTION_OVERDUE = seam.ms(300)
 RETRY_MS = 300
@@ -39,6 +41,7 @@
         # Calls that came while out of touch: (operation, arguments, callback).
         self.held_calls = []
         self.contact_due = seam.ZERO
+        self.contact_postponed = False
         # Up to when the master is known to have received what we sent.
         self.received_until = seam.ZERO
         # When the call was put that it seems not to have received.
@@ -76,7 +79,7 @@
 
     def answer_deadline(self):
         """When the oldest call that the master leaves unanswered counts as unheard."""
-        return self.oldest_unheard() + ANSWER_OVERDUE
+        return self.oldest_unheard() + self.bounds.check * ANSWER_HEARTBEATS
 
     def oldest_unheard(self):
         """When the oldest call was put of which nothing shows that the master received it; now, if there is none."""
@@ -93,10 +96,12 @@
         self.alarms['contact'] = at
 
     def alarm_contact(self):
-        if self.now > self.contact_due + self.bounds.gather:
-            # This process itself stood still: what was sent to it meanwhile is read first.
+        if self.now > self.contact_due + STOOD_STILL and not self.contact_postponed:
+            # What was sent to it meanwhile is read first; but once only, or a busy process would never answer.
+            self.contact_postponed = True
             self.set_contact_alarm(self.now + self.bounds.gather)
             return
+        self.contact_postponed = False
         if self.mode == 'follower' and self.now >= self.answer_deadline():
             self.unheard_since = self.oldest_unheard()
         if self.out_of_touch():
