--- a/features/orders.feature
+++ b/features/orders.feature
@@ -149,6 +149,15 @@
       | at the master, frozen        | a withdrawal                 |
       | at the master, frozen        | an evacuation and withdrawal |
 
+  Scenario Outline: Over real sockets, an evacuation left at a stopped <process> does not act when that goes on
+    Given a chain of three control nodes
+    When the <process> is stopped, an evacuation is left in its socket by a caller who goes, and one is withdrawn elsewhere
+    Then once it goes on and answers again, the zone is not evacuated
+    Examples:
+      | process  |
+      | follower |
+      | master   |
+
   Scenario: An evacuation that other orders come before is put again while its caller waits
     Given a small core of open traffic
     When eight evacuations of a cell and eight of another are asked for at once, at all nodes
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,8 +1,11 @@
 import json
+import signal
+import socket
 
 import behave
 import control_steps
 
+import features.stands as stands
 import zinctrail.agree.journal as journal
 import zinctrail.agree.replica as replica
 import zinctrail.agree.transactions as transactions
@@ -414,3 +417,50 @@
 def _(context):
     assert context.got == [200], context.got
     assert is_emptied(context)
+
+
+# -- over real sockets -----------------------------------------------------------
+
+ZONE = 'z1'
+
+
+def mode(node):
+    return stands.ask(node.internal, 'GET', '/v1/self').doc['state']['mode']
+
+
+@behave.given('a chain of three control nodes')
+def _(context):
+    context.chain = stands.Chain(cores=3, edges=1).start()
+    context.add_cleanup(context.chain.stop)
+
+
+@behave.when(
+    'the {process} is stopped, an evacuation is left in its socket by a caller who goes, and one is withdrawn elsewhere'
+)
+def _(context, process):
+    chain = context.chain
+    wanted = {'follower': 'follower', 'master': 'leader'}[process]
+    context.stopped = next(node for node in chain.cores if mode(node) == wanted)
+    others = [node for node in chain.cores if node is not context.stopped]
+    context.stopped.signal(signal.SIGSTOP)
+    host, _, port = context.stopped.control.rpartition(':')
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall(f'POST /v1/evacuation/{ZONE} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'.encode())
+
+    def withdrawn():
+        return stands.ask(others[0].control, 'DELETE', f'/v1/evacuation/{ZONE}').status == 200
+
+    chain.until(withdrawn, 'the withdrawal')
+
+
+@behave.then('once it goes on and answers again, the zone is not evacuated')
+def _(context):
+    context.stopped.signal(signal.SIGCONT)
+    for node in [context.stopped, *context.chain.cores]:
+        context.chain.until(
+            lambda node=node: stands.ask(node.control, 'GET', '/v1/configuration').status == 200, 'a read'
+        )
+    # A change through the node that went on comes after all that it had been left.
+    assert context.chain.order('POST', '/v1/numbers/n1').status == 200
+    cells = stands.ask(context.stopped.internal, 'GET', '/v1/copy').doc['tables'].get('cells', {})
+    assert not any(row.get('emptied') for row in cells.values()), cells
