A control node whose own cluster never formed joins the one that did

Cause: a process frozen (or starved) for some 3 s in the round before it forms a cluster formed it on waking, from answers that had waited for it, though the others had formed one without it. It then refused them, and they it, for good: a voting set of 2 of 3. That is how "waited in vain for all cores to vote" can come about in features/ill.feature on a busy machine.

Change: a control node of a cluster with a master answers probes of strangers; who took a first generation, but has no term, hence no vote and no master's generation, forgets it when such an answer comes, and joins.

--- /dev/null
+++ b/features/unformed.feature
@@ -0,0 +1,29 @@
+Feature: A control node whose own cluster never formed joins the one that did
+  A process that is frozen in the moment before it forms a cluster forms it when
+  it wakes, also where the others have formed one without it by then. Seeds 1 to 4
+  of the simulator, three control nodes.
+
+  Scenario Outline: Frozen for <length> ms just before it forms
+    Given a small start whose former is frozen for <length> ms in the round before it forms
+    When 30 s have gone by
+    Then one cluster leads, and all three control nodes vote in it
+    Examples:
+      | length |
+      | 2000   |
+      | 3500   |
+      | 6000   |
+
+  Scenario Outline: Restarted right after it gave its own cluster up, <how>
+    Given a small start whose former is frozen for 4000 ms in the round before it forms
+    When it has given its own cluster up it is <how>, and 30 s have gone by
+    Then one cluster leads, and all three control nodes vote in it
+    Examples:
+      | how                               |
+      | killed and started again          |
+      | without power and started again   |
+      | without power at its next write   |
+
+  Scenario: A cluster that voted is never given up for another
+    Given a control node whose own cluster has had a term
+    When a node of another cluster answers its probe with a master
+    Then it stays in its own
--- a/zinctrail/agree/bootstrap.py
+++ b/zinctrail/agree/bootstrap.py
@@ -187,3 +187,39 @@
     def m_boot_re(self, env):
         if env['ok'] and self.rep.accepted == (0, 1):
             self.boots = (self.boots or {self.node}) | {env['f']}
+
+    # -- a cluster of ours that never formed ------------------------------
+
+    def heard_other_cluster(self, env):
+        """A node of a cluster that formed answers strangers, so that one whose own never formed can join it."""
+        if env['t'] == 'probe' and self.master and self.rep.committed[0] > 0:
+            self.answer_probe(env['a'])
+        elif env['t'] == 'probe_re' and self.unformed() and env['master'] and env['term'] > 0:
+            self.abandon_unformed(env)
+            return True
+        return False
+
+    def unformed(self):
+        """Whether we took a first generation, but never voted, nor heard of a master under it."""
+        return self.rep.accepted == (0, 1) and self.term == 0 and not self.given_up
+
+    def abandon_unformed(self, env):
+        """Forget a cluster that never formed here, as another did.
+
+        Nothing rests on what is forgotten: no vote was cast and no master's
+        generation accepted. The other cluster leads, so a majority of its set
+        took its first generation; sets that form have majorities that meet,
+        and each node takes one, so ours can not form any more.
+        """
+        self.log(f'Cluster {self.cluster} never formed: joins {env["c"]} instead.', 'abandon', cluster=env['c'])
+        self.cluster = ''
+        # In place: what works routes out of it holds on to it.
+        self.rep.__init__()
+        self.applied(None)
+        self.boots = self.boot_seen = self.prevotes = None
+        self.boot_rounds = self.pushes = 0
+        self.views.clear()
+        # The state alone: of the term file, that nothing was voted for stays true.
+        self.write('node', self.who(), sorted(n for n in self.files if n.startswith(('gen-', 'ckpt-'))))
+        self.remember(env['a'], env['f'], 'core', seen=True)
+        self.alarm('find', seam.ZERO)
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -167,7 +167,7 @@
             elif cluster in (self.rep.get('meta', 'retired') or ()):
                 # Why told: whoever was believed lost when the core was recovered must not act when it comes back.
                 self.tell(env['a'], 'retired', of=self.rep.get('meta', 'retired'))
-            else:
+            elif not self.heard_other_cluster(env):
                 self._refuse(env, 'cluster')
             return
         if frm != self.node:
@@ -197,6 +197,10 @@
         self.remember(env['a'], env['f'], 'core', seen=True)
         self.alarm('find', seam.ZERO)
 
+    def heard_other_cluster(self, env):
+        """For the role: whether a frame of another cluster than ours was of use."""
+        return False
+
     def m_retired(self, env):
         """Of our own cluster or of none: nothing to give up."""
 
@@ -285,11 +289,14 @@
     def m_probe(self, env):
         m = env['member']
         self.remember(env['a'], env['f'], m['role'], seen=True)
+        self.answer_probe(env['a'])
+
+    def answer_probe(self, addr):
         cores = [
             [a, k['id'], self.answers(k)] for a, k in self.known.items() if k['role'] == 'core' and k['at'] is not None
         ]
         self.tell(
-            env['a'],
+            addr,
             'probe_re',
             member=self.member(),
             term=self.term,
