Checkpoints of large states are written in parts, no heartbeat waits for them

Cause: the checkpoint of a state of 46,000 routes, 470,000 tenants and 75,000 endpoints held the loop for 1.7 s, measured by sim.catchup, longer than three checks. Change: above 1 MB our own checkpoints are written 64 KB of rows at a time, 20 ms apart, while changes go on behind it; a state that comes in pieces is written as it comes and counts, renamed, before it is answered for. The file is the same as before (format 2).

--- a/features/snapshots_disk.feature
+++ b/features/snapshots_disk.feature
@@ -8,18 +8,20 @@
     When the power is lost at each step, with each choice of entries and bytes kept
     Then every folder left loads a state no older than the last acknowledgement
     Examples:
-      | size  |
-      | small |
-      | large |
+      | size                              |
+      | small                             |
+      | large                             |
+      | large, with checkpoints in parts, |
 
   Scenario Outline: A voter that goes on after such a loss loses nothing either
     Given a modelled folder on which a voter of a <size> state writes terms, changes and checkpoints
     When the voter starts again on each folder left, writes over old files and may lose power once more
     Then every file that counts is as it was written
     Examples:
-      | size  |
-      | small |
-      | large |
+      | size                              |
+      | small                             |
+      | large                             |
+      | large, with checkpoints in parts, |
 
   Scenario: Many changes of a large state are a few files at the next start
     Given a voter of a state of 3000 KB
@@ -35,3 +37,9 @@
   Scenario: A new data folder is itself durable before anything is written to it
     When a data folder is made two levels deep
     Then the folder above each new one was synced
+
+  Scenario: A checkpoint written in parts is the one written at once
+    Given a voter of a state of 3000 KB
+    When it writes a checkpoint in parts while 200 changes go on
+    Then no part held up a heartbeat by more than 200 KB of writing
+    And what it starts with again is what it had, from that checkpoint
--- a/features/steps/snapshots_disk_steps.py
+++ b/features/steps/snapshots_disk_steps.py
@@ -16,6 +16,7 @@
 import zinctrail.bounds as bounds
 import zinctrail.edge.disk as disk
 import zinctrail.faults as faults
+import zinctrail.seam as seam
 
 FOLDER = '/data'
 VIEW = ['a', 'b', 'c']
@@ -24,7 +25,7 @@
 class FolderModel:
     """The calls of `os` that edge.disk makes, over inodes and folder entries that are synced apart."""
 
-    O_WRONLY, O_CREAT, O_RDONLY = os.O_WRONLY, os.O_CREAT, os.O_RDONLY
+    O_WRONLY, O_CREAT, O_RDONLY, O_TRUNC = os.O_WRONLY, os.O_CREAT, os.O_RDONLY, os.O_TRUNC
 
     def __init__(self, entries=(), contents=()):
         # What each inode holds: [synced bytes, bytes].
@@ -80,6 +81,9 @@
                 self.point(path, len(self.inodes) - 1)
                 self.after_step()
             self.handles[handle] = [self.entries[path], 0]
+            if flags & os.O_TRUNC:
+                self.inodes[self.entries[path]][1] = b''
+                self.after_step()
         else:
             self.handles[handle] = path
         return handle
@@ -92,6 +96,13 @@
         self.after_step()
         return len(data)
 
+    def pwrite(self, handle, data, at):
+        inode = self.handles[handle][0]
+        kept = self.inodes[inode][1]
+        self.inodes[inode][1] = kept[:at] + data + kept[at + len(data) :]
+        self.after_step()
+        return len(data)
+
     def ftruncate(self, handle, size):
         inode = self.handles[handle][0]
         self.inodes[inode][1] = self.inodes[inode][1][:size]
@@ -141,6 +152,7 @@
     out = disk.Disk.__new__(disk.Disk)
     out.folder, out.old = FOLDER, disk.collections.deque()
     out.shared, out.looked_at = set(), set()
+    out.part_name = out.part = None
     disk.os, disk.open = model, model.open_text
     return out
 
@@ -193,6 +205,16 @@
     put(3, 13),
     lambda v: v.raise_term(4, 'a'),
 ]
+
+
+def checkpoint_in_parts(v):
+    v.begin_checkpoint()
+
+
+def next_part(v):
+    v.alarm_checkpoint()
+
+
 # The same over a state that is larger than many changes: their files are gathered into segments.
 LARGE = [
     lambda v: v.write('node', v.who(), journal.needless(v.files)),
@@ -202,7 +224,24 @@
     lambda v: v.raise_term(2, 'b'),
     *(put(2, gen) for gen in range(15, 19)),
 ]
-HISTORIES = {'small': HISTORY, 'large': LARGE}
+# The same with a checkpoint written in parts while changes go on, and a second one dropped half-way.
+IN_PARTS = [
+    *LARGE[:6],
+    checkpoint_in_parts,
+    next_part,
+    put(1, 13),
+    next_part,
+    put(1, 14),
+    next_part,
+    put(1, 15),
+    checkpoint_in_parts,
+    next_part,
+    lambda v: v.raise_term(2, 'b'),
+    put_whole(2, 19),
+    put(2, 20),
+    put(2, 21),
+]
+HISTORIES = {'small': HISTORY, 'large': LARGE, 'large, with checkpoints in parts,': IN_PARTS}
 
 
 def memory(files):
@@ -232,8 +271,8 @@
             before = known(v)
             step(v)
             model.after_step = lambda before=before: each(before, known(v))
-            for effect in [e for e in v.out if hasattr(e, 'gone')]:
-                d.write(effect.name, effect.text, effect.gone, effect.looked_at)
+            for effect in [e for e in v.out if isinstance(e, seam.DISK)]:
+                d.carry_out(effect)
             v.out = []
             model.after_step = lambda: None
     finally:
@@ -325,8 +364,8 @@
                 acknowledged = known(v)
                 step(v)
                 model.after_step = lambda acknowledged=acknowledged: lost_again(acknowledged, known(v))
-                for effect in [e for e in v.out if hasattr(e, 'gone')]:
-                    d.write(effect.name, effect.text, effect.gone, effect.looked_at)
+                for effect in [e for e in v.out if isinstance(e, seam.DISK)]:
+                    d.carry_out(effect)
                 v.out = []
                 model.after_step = lambda: None
                 got = memory(text_of(model.entries, [new for _, new in model.inodes]))
@@ -430,8 +469,8 @@
 
 def carry_out(context, step):
     step(context.voter)
-    for effect in [e for e in context.voter.out if hasattr(e, 'gone')]:
-        context.disk.write(effect.name, effect.text, effect.gone, effect.looked_at)
+    for effect in [e for e in context.voter.out if isinstance(e, seam.DISK)]:
+        context.disk.carry_out(effect)
     context.voter.out = []
 
 
@@ -461,3 +500,37 @@
     left = set(context.model.listdir(FOLDER)) & passed_over
     assert passed_over
     assert not left, sorted(left)
+
+
+@behave.when('it writes a checkpoint in parts while {number:d} changes go on')
+def when_in_parts(context, number):
+    context.parts = []
+    write_part = context.disk.write_part
+
+    def noted(name, text, first):
+        context.parts.append(len(text))
+        write_part(name, text, first)
+
+    context.disk.write_part = noted
+    for gen in range(10, 10 + number):
+        carry_out(context, put(1, gen))
+        if gen == 50:
+            carry_out(context, checkpoint_in_parts)
+        elif gen > 50 and context.voter.parts is not None:
+            carry_out(context, next_part)
+
+
+@behave.then('no part held up a heartbeat by more than {kb:d} KB of writing')
+def then_parts(context, kb):
+    assert len(context.parts) > 20, len(context.parts)
+    assert max(context.parts) <= kb * 1000, max(context.parts)
+
+
+@behave.then('what it starts with again is what it had, from that checkpoint')
+def then_from_it(context):
+    again = on(context.model)
+    files = again.load()
+    v = new_voter(files, context.bounds)
+    assert journal.ckpt_name((1, 50)) in files, sorted(files)[:5]
+    assert v.history.changes[0].base == (1, 50), v.history.changes[0]
+    assert known(v) == known(context.voter)
--- a/features/steps/snapshots_steps.py
+++ b/features/steps/snapshots_steps.py
@@ -212,7 +212,7 @@
     node.machine.write_ckpt()
     node.machine.out, effects = [], node.machine.out
     for effect in effects:
-        node.disk.write(effect.name, effect.text, effect.gone, effect.looked_at)
+        node.disk.carry_out(effect)
 
 
 @behave.then('all have caught up within {limit:d} s')
@@ -344,7 +344,7 @@
             context.answers.append(text)
 
     rig.world.on_deliver = noted
-    rig.world.die_in_write = lambda n, e: n is node and e.name.startswith('ckpt-')
+    rig.world.die_in_write = lambda n, e: n is node and isinstance(e, seam.WriteEnd)
     assert rig.world.run(seam.ms(20000), until=lambda: not node.up)
     rig.world.run(seam.ms(1000))
 
--- /dev/null
+++ b/zinctrail/agree/checkpoints.py
@@ -0,0 +1,88 @@
+"""Checkpoints of large states, written in parts so that no heartbeat waits for them."""
+
+import zinctrail.agree.journal as journal
+import zinctrail.agree.snapshots as snapshots
+import zinctrail.seam as seam
+
+# Smaller states are written at once.
+AT_ONCE_BYTES = 1 << 20
+# How long after a part the next one of our own checkpoint is written.
+PAUSE = seam.ms(20)
+
+
+class Checkpoints:
+    """Checkpoints of large states, written in parts so that no heartbeat waits for them.
+
+    One is under way at a time: our own, of a version that is kept as it was
+    while the state goes on, or that of a state which comes in pieces.
+    """
+
+    def begin_parts(self, at):
+        self.parts = journal.CheckpointText(at)
+        self.parts_bytes = 0
+        self.parts_rows = None
+        self.alarms.pop('checkpoint', None)
+        self.add_part(self.parts.begin(), first=True)
+
+    def add_part(self, text, first=False):
+        self.parts_bytes += len(text)
+        self.out.append(seam.WritePart(journal.ckpt_name(self.parts.at), text, first))
+
+    def writes_parts(self):
+        # What was begun of a state that comes no more is in nobody's way.
+        return self.parts is not None and (self.parts_rows is not None or self.incoming is not None)
+
+    def drop_parts(self):
+        self.parts = self.parts_rows = None
+        self.alarms.pop('checkpoint', None)
+
+    def end_parts(self):
+        """What was written in parts becomes the newest checkpoint."""
+        parts, name = self.parts, journal.ckpt_name(self.parts.at)
+        self.add_part(parts.end())
+        self.drop_parts()
+        older = [n for n in self.files if n.startswith(('gen-', 'ckpt-')) and journal.at_of(n) <= parts.at]
+        gone = tuple(sorted(n for n in older if n != name))
+        self.files.add(name)
+        self.files -= set(gone)
+        self.ckpt_bytes = self.parts_bytes
+        self.out.append(seam.WriteEnd(name, parts.head(), gone))
+
+    # -- our own ----------------------------------------------------------
+
+    def begin_checkpoint(self):
+        """Begin to write what is accepted now; changes go on being written behind it."""
+        self.begin_parts(self.rep.accepted)
+        self.parts_rows = snapshots.Content.whole(self.rep.accepted, self.rep.whole())
+        self.parts_number = 0
+        self.since_ckpt = 0
+        # Only what comes after it counts towards the next, and no segment may reach over it.
+        self.gen_bytes = self.closed_bytes = 0
+        self.begin_segment(self.rep.accepted)
+        self.alarm('checkpoint', PAUSE)
+
+    def alarm_checkpoint(self):
+        if self.parts is None or self.parts_rows is None or self.unfit:
+            return
+        rows = self.parts_rows.take(self.parts_number)
+        self.parts_number += 1
+        if rows is None:
+            self.end_parts()
+        else:
+            self.add_part(self.parts.rows(rows))
+            self.alarm('checkpoint', PAUSE)
+
+    # -- of a state that comes in pieces ----------------------------------
+
+    def piece_came(self, incoming, rows):
+        if incoming.tables is None:
+            return
+        at = incoming.key[2]
+        if incoming.have == 1:
+            self.begin_parts(at)
+        if self.parts is not None and self.parts.at == at and self.parts_rows is None:
+            self.add_part(self.parts.rows(rows))
+
+    def is_in_parts(self, at):
+        """Whether all of the version at `at` was written in parts as it came."""
+        return self.parts is not None and self.parts_rows is None and self.parts.at == at and self.parts.fit
--- a/zinctrail/agree/journal.py
+++ b/zinctrail/agree/journal.py
@@ -33,6 +33,47 @@
         raise faults.DamageFault(f'{name}: {e}') from e
 
 
+class CheckpointText:
+    """The text of a checkpoint, made a few rows at a time; those of one table must come together."""
+
+    # What stands for the checksum until it is known.
+    PLACE = '0' * 8 + ' '
+
+    def __init__(self, at):
+        self.at = at
+        self.sum = 0
+        self.table = None
+        self.tables = set()
+        self.fit = True
+
+    def begin(self):
+        return self.PLACE + self._counted(f'{{"gen":{self.at[1]},"tables":{{')
+
+    def rows(self, rows):
+        parts = []
+        for table, key, val in rows:
+            if table != self.table:
+                # Rows of a table that was closed can't be added any more.
+                self.fit = self.fit and table not in self.tables
+                parts.append(f'{"}," if self.tables else ""}{json.dumps(table)}:{{')
+                self.table = table
+                self.tables.add(table)
+            else:
+                parts.append(',')
+            parts.append(f'{json.dumps(key)}:{json.dumps(val, separators=(",", ":"))}')
+        return self._counted(''.join(parts))
+
+    def end(self):
+        return self._counted(f'{"}" if self.tables else ""}}},"term":{self.at[0]}}}')
+
+    def head(self):
+        return f'{self.sum:08x} '
+
+    def _counted(self, text):
+        self.sum = zlib.crc32(text.encode(), self.sum)
+        return text
+
+
 def gen_name(at):
     return f'gen-{at[1]:016d}-{at[0]:08d}'
 
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -466,6 +466,7 @@
         incoming = self.incoming
         if env['number'] == incoming.have:
             incoming.take(env['rows'])
+            self.piece_came(incoming, env['rows'])
             if 'digest' in env:
                 self.incoming = None
                 ok = self.take_transfer(incoming, env)
@@ -473,6 +474,9 @@
                 return
         self.tell(env['a'], 'piece_re', term=self.term, at=at, base=base, have=incoming.have)
 
+    def piece_came(self, incoming, rows):
+        """For voters, who write it down as it comes."""
+
     def take_transfer(self, incoming, env):
         """Whether what came in pieces is whole, fits what we have, and was taken."""
         _, _, at, base = incoming.key
--- a/zinctrail/agree/persistence.py
+++ b/zinctrail/agree/persistence.py
@@ -1,5 +1,6 @@
 """A voter's durable writes: its identity, term and vote, and the states that it accepted."""
 
+import zinctrail.agree.checkpoints as checkpoints
 import zinctrail.agree.journal as journal
 import zinctrail.seam as seam
 
@@ -44,14 +45,17 @@
         self.since_ckpt += 1
         # Why by size too: a large state must not be written whole for a few small generations.
         due = self.since_ckpt >= self.bounds.checkpoint_every and self.gen_bytes >= self.ckpt_bytes
-        if full is not None or due:
+        if full is not None or (due and self.ckpt_bytes < checkpoints.AT_ONCE_BYTES):
             self.write_ckpt()
             return
         self.add_to_segment(at, rows)
         if len(self.segment_files) >= self.bounds.checkpoint_every:
             self.write_segment(at)
-            return
-        self.gen_bytes += self.write(journal.gen_name(at), {'term': at[0], 'gen': at[1], 'base': base, 'rows': rows})
+        else:
+            doc = {'term': at[0], 'gen': at[1], 'base': base, 'rows': rows}
+            self.gen_bytes += self.write(journal.gen_name(at), doc)
+        if due and not self.writes_parts():
+            self.begin_checkpoint()
 
     def write_segment(self, at):
         """Gather the files of many changes into one, where the state is too large for a checkpoint of them.
@@ -102,6 +106,12 @@
     def write_ckpt(self):
         self.since_ckpt = 0
         at = self.rep.accepted
+        if self.is_in_parts(at):
+            self.gen_bytes = self.closed_bytes = 0
+            self.begin_segment(at)
+            self.end_parts()
+            return
+        self.drop_parts()
         name = journal.ckpt_name(at)
         gone = sorted(n for n in self.files if n.startswith(('gen-', 'ckpt-')) and n != name)
         self.gen_bytes = self.closed_bytes = 0
@@ -113,6 +123,7 @@
         if not self.unfit:
             self.log(f'Disk can not be written: {text}. Does not vote or lead.', 'disk', fit=False, why=text)
         self.unfit = True
+        self.drop_parts()
         if self.mode == 'leader':
             # Why named: it needs no pre-vote, and nobody has to find out that we are gone.
             self.name_successor()
--- a/zinctrail/agree/snapshots.py
+++ b/zinctrail/agree/snapshots.py
@@ -58,6 +58,13 @@
             self._cut()
         return self.pieces[number] if number < len(self.pieces) else None
 
+    def take(self, number):
+        """The rows of a piece that nobody else will ask for."""
+        rows = self.piece(number)
+        if rows is not None:
+            self.pieces[number] = ()
+        return rows
+
     def is_last(self, number):
         return number == len(self.pieces) - 1 and self._next_row is None
 
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -10,6 +10,7 @@
 import zinctrail.agree.bootstrap as bootstrap
 import zinctrail.agree.catching_up as catching_up
 import zinctrail.agree.contact as contact
+import zinctrail.agree.checkpoints as checkpoints
 import zinctrail.agree.elections as elections
 import zinctrail.agree.history as history
 import zinctrail.agree.journal as journal
@@ -29,6 +30,7 @@
 
 class Voter(
     persistence.Persistence,
+    checkpoints.Checkpoints,
     bootstrap.Bootstrap,
     elections.Elections,
     replication.Replication,
@@ -88,6 +90,8 @@
         self.contact_init()
         # The changes that led here, also those that another master made.
         self.history = history.History()
+        # The checkpoint that is being written in parts; its rows where it is our own.
+        self.parts = self.parts_rows = None
         # The changes since the last segment of the folder, as files: where they begin, and their names.
         self.load_segment(files or {})
         self.load_history()
--- a/zinctrail/edge/disk.py
+++ b/zinctrail/edge/disk.py
@@ -6,6 +6,7 @@
 import time
 
 import zinctrail.faults as faults
+import zinctrail.seam as seam
 
 # Why bounded: a folder must not keep growing when little is written.
 OLD_MOST = 512
@@ -21,6 +22,8 @@
         # Names of those that may not be written over: two names of one file, and what a reader still looks at.
         self.shared = set()
         self.looked_at = set()
+        # The file that is being written in parts: its name and handle.
+        self.part_name = self.part = None
         try:
             make_durable_folder(folder)
             self.lock = open(os.path.join(folder, 'lock'), 'w')
@@ -70,6 +73,53 @@
         sync_folder(aside)
         return aside
 
+    def carry_out(self, effect):
+        """Do what one of seam.DISK asks for."""
+        if isinstance(effect, seam.WritePart):
+            self.write_part(effect.name, effect.text, effect.first)
+        elif isinstance(effect, seam.WriteEnd):
+            self.write_end(effect.name, effect.head, effect.gone)
+        else:
+            self.write(effect.name, effect.text, effect.gone, effect.looked_at)
+
+    def write_part(self, name, text, first):
+        """Each part is synced by itself, so that none waits for all of them."""
+        try:
+            if first:
+                if self.part is not None:
+                    os.close(self.part)
+                self.part_name, self.part = name, None
+                self.part = os.open(self._part_path(name), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+            if self.part is None or name != self.part_name:
+                raise faults.DiskFault(f'{name}: its first part was not written')
+            self._write_all(self.part, text.encode())
+            os.fsync(self.part)
+        except OSError as e:
+            raise faults.DiskFault(f'{name}: {e.strerror or e}') from e
+
+    def write_end(self, name, head, gone):
+        if self.part is None or name != self.part_name:
+            raise faults.DiskFault(f'{name}: its first part was not written')
+        handle, self.part = self.part, None
+        try:
+            try:
+                os.pwrite(handle, head.encode(), 0)
+                os.fsync(handle)
+            finally:
+                os.close(handle)
+            os.rename(self._part_path(name), os.path.join(self.folder, name))
+            self._sync_folder()
+        except OSError as e:
+            raise faults.DiskFault(f'{name}: {e.strerror or e}') from e
+        self.forget(name, gone, False)
+
+    def _part_path(self, name):
+        return os.path.join(self.folder, f'{name}.part.tmp')
+
+    def _write_all(self, handle, data):
+        while data:
+            data = data[os.write(handle, data) :]
+
     def write(self, name, text, gone=(), looked_at=False):
         path = os.path.join(self.folder, name)
         try:
@@ -77,8 +127,7 @@
             try:
                 data = text.encode()
                 size = len(data)
-                while data:
-                    data = data[os.write(fd, data) :]
+                self._write_all(fd, data)
                 os.ftruncate(fd, size)
                 os.fsync(fd)
             finally:
@@ -87,6 +136,9 @@
             self._sync_folder()
         except OSError as e:
             raise faults.DiskFault(f'{name}: {e.strerror or e}') from e
+        self.forget(name, gone, looked_at)
+
+    def forget(self, name, gone, looked_at):
         # Why only now: the checkpoint that makes them needless is synced.
         self.old.extend(g for g in gone if g != name)
         if looked_at:
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -168,9 +168,9 @@
 
     def run(self, effects):
         for e in effects:
-            if isinstance(e, seam.Write):
+            if isinstance(e, seam.DISK):
                 try:
-                    self.disk.write(e.name, e.text, e.gone, e.looked_at)
+                    self.disk.carry_out(e)
                     self.stats['writes'] += 1
                 except faults.DiskFault as fault:
                     # Why the rest is left out: it rests on what was not written.
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -48,6 +48,28 @@
     looked_at: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class WritePart:
+    """Add `text` to file `name`, which counts only from its WriteEnd on; `first` begins it anew."""
+
+    name: str
+    text: str
+    first: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class WriteEnd:
+    """Put `head` over the beginning of the parts of `name`, bring it durably there, then forget `gone`."""
+
+    name: str
+    head: str
+    gone: tuple = ()
+
+
+# What is carried out on the disk.
+DISK = (Write, WritePart, WriteEnd)
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """Answer the HTTP call `rid`."""
--- a/zinctrail/sim/catchup.py
+++ b/zinctrail/sim/catchup.py
@@ -125,7 +125,7 @@
         node.machine.write_ckpt()
         node.machine.out, effects = [], node.machine.out
         for effect in effects:
-            node.disk.write(effect.name, effect.text, effect.gone, effect.looked_at)
+            node.disk.carry_out(effect)
         node.kill()
         return time.perf_counter() - began
 
@@ -156,8 +156,8 @@
         master.machine.submit(put, lambda res: None)
         master.machine.out, effects = [], master.machine.out
         for effect in effects:
-            if isinstance(effect, seam.Write):
-                master.disk.write(effect.name, effect.text, effect.gone, effect.looked_at)
+            if isinstance(effect, seam.DISK):
+                master.disk.carry_out(effect)
             else:
                 world.EFFECTS[type(effect)](master, effect)
         master.set_alarm()
--- a/zinctrail/sim/scale.py
+++ b/zinctrail/sim/scale.py
@@ -258,6 +258,10 @@
             elif isinstance(e, seam.Write):
                 self.counts['writes'] += 1
                 self.counts['write_bytes'] += len(e.text)
+            elif isinstance(e, seam.WritePart):
+                self.counts['write_bytes'] += len(e.text)
+            elif isinstance(e, seam.WriteEnd):
+                self.counts['writes'] += 1
             elif isinstance(e, seam.Fetch):
                 self.counts['fetches'] += 1
         self.cpu += time.thread_time_ns() - began
--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -57,6 +57,21 @@
         self.writes = 0
         self.old = []
         self.only_removed = set()
+        self.parts = {}
+
+    def carry_out(self, effect):
+        if isinstance(effect, seam.WritePart):
+            self.write_part(effect.name, effect.text, effect.first)
+        elif isinstance(effect, seam.WriteEnd):
+            whole = effect.head + self.parts.pop(effect.name)[len(effect.head) :]
+            self.write(effect.name, whole, effect.gone)
+        else:
+            self.write(effect.name, effect.text, effect.gone, effect.looked_at)
+
+    def write_part(self, name, text, first):
+        if self.full:
+            raise faults.DiskFault(f'{name}: no space left')
+        self.parts[name] = text if first else self.parts[name] + text
 
     def write(self, name, text, gone, looked_at=False):
         if self.full:
@@ -75,6 +90,7 @@
             self.synced = dict(self.files)
 
     def power_lost(self):
+        self.parts = {}
         self.files = dict(self.synced)
         # Why: the one being written over may have its old name and new bytes.
         for name in self.old[:1]:
@@ -173,9 +189,9 @@
         if kind == 'stop':
             w.mark(self.name, 'stop')
         for i, e in enumerate(self.machine.feed(kind, w.now * self.drift, *args)):
-            if isinstance(e, seam.Write):
+            if isinstance(e, seam.DISK):
                 try:
-                    self.disk.write(e.name, e.text, e.gone, e.looked_at)
+                    self.disk.carry_out(e)
                 except faults.DiskFault as fault:
                     w.after(seam.ZERO, self.feed_life, self.life, 'disk_fault', str(fault))
                     break
