--- a/zinctrail/sim/world.py
+++ b/zinctrail/sim/world.py
@@ -63,7 +63,7 @@
         if isinstance(effect, seam.WritePart):
             self.write_part(effect.name, effect.text, effect.first)
         elif isinstance(effect, seam.WriteEnd):
-            whole = effect.head + self.parts.pop(effect.name)[len(effect.head) :]
+            whole = effect.head + ''.join(self.parts.pop(effect.name))[len(effect.head) :]
             self.write(effect.name, whole, effect.gone)
         else:
             self.write(effect.name, effect.text, effect.gone, effect.looked_at)
@@ -71,7 +71,9 @@
     def write_part(self, name, text, first):
         if self.full:
             raise faults.DiskFault(f'{name}: no space left')
-        self.parts[name] = text if first else self.parts[name] + text
+        if first:
+            self.parts[name] = []
+        self.parts[name].append(text)
 
     def write(self, name, text, gone, looked_at=False):
         if self.full:
