--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -460,6 +460,10 @@
         if self.rep.accepted == at:
             self.tell(env['a'], 'pub_re', term=self.term, at=at, ok=True, accepted=at)
             return
+        if not self.rep.fits(at, base, base is None):
+            # At once, not only with the last: all of it would be for nothing.
+            self.tell(env['a'], 'pub_re', term=self.term, at=at, ok=False, accepted=self.rep.accepted)
+            return
         key = (env['f'], env['term'], at, base)
         if self.incoming is None or self.incoming.key != key:
             self.incoming = snapshots.Incoming(key, whole=base is None)
