--- a/zinctrail/agree/checkpoints.py
+++ b/zinctrail/agree/checkpoints.py
@@ -6,6 +6,7 @@
 
 # Smaller states are written at once.
 AT_ONCE_BYTES = 1 << 20
+AT_ONCE_ROWS = 4096
 # How long after a part the next one of our own checkpoint is written.
 PAUSE = seam.ms(20)
 
@@ -28,6 +29,9 @@
         self.parts_bytes += len(text)
         self.out.append(seam.WritePart(journal.ckpt_name(self.parts.at), text, first))
 
+    def is_small(self):
+        return self.ckpt_bytes < AT_ONCE_BYTES and self.rep.size() < AT_ONCE_ROWS
+
     def writes_parts(self):
         # What was begun of a state that comes no more is in nobody's way.
         return self.parts is not None and (self.parts_rows is not None or self.incoming is not None)
--- a/zinctrail/agree/persistence.py
+++ b/zinctrail/agree/persistence.py
@@ -45,7 +45,7 @@
         self.since_ckpt += 1
         # Why by size too: a large state must not be written whole for a few small generations.
         due = self.since_ckpt >= self.bounds.checkpoint_every and self.gen_bytes >= self.ckpt_bytes
-        if full is not None or (due and self.ckpt_bytes < checkpoints.AT_ONCE_BYTES):
+        if full is not None or (due and self.is_small()):
             self.write_ckpt()
             return
         self.add_to_segment(at, rows)
