Keep an ask of the master from acting late or a second time under another one

Cause: what keeps a copy of an ask from acting again lived in one master's memory, and nothing told how old a frame was. An order to empty a cell that acted, and was put again to the next master after its withdrawal had been acknowledged, emptied the cell again; a frame held up for seconds took a lock for a holder who had given it back. One beat put to two masters counted as the two that warm an endpoint; a probe's answer counted for a later asking; a proxy took an outcome meant for whoever had its address before, and told it to its own caller.

Change: an ask names the check round of its master that its sender saw last (field seen, read as before where it is missing); a master leaves it once that round is older than any that a member in touch can quote. One that was put under an earlier term says so (since); what the state doesn't know again by its words (cell.empty alone) is then told 504, unknown. Proxies ask for claims and closings only, known by their nonces, and name no round, so that a claim costs no byte more. Probes carry a number, kept_re the id of its request; a copy of a beat warms nobody.

--- a/features/never_routes.feature
+++ b/features/never_routes.feature
@@ -13,7 +13,7 @@
       | newcomer-reached  | asking who is there   | stale_passed_on                          | 1,2,3 |
       | gone-reached      | keeping the gone      | beats_late                               | 1,2,3 |
       | config-in-force   | view leases           | stale_move                               | 1,2,3 |
-      | config-in-force   | publishing to proxies | move_pool                                | 1,2   |
+      | config-in-force   | publishing to proxies | move_pool                                | 1,2,4 |
       | conflicts         | bases                 | operators_collide                        | 1,2   |
       | evacuated-reached | evacuation            | evacuate                                 | 1,2   |
       | evacuated-reached | view leases           | stale_evacuate                           | 1,2,3 |
--- /dev/null
+++ b/features/steps/calls_control_steps.py
@@ -0,0 +1,503 @@
+"""Asks that come again, late, to another master, or with their answers lost."""
+
+import json
+import random
+
+import behave
+
+import control_steps
+import open_steps
+import zinctrail.bounds as bounds
+import zinctrail.ctl.coord as coord
+import zinctrail.ctl.core as core
+import zinctrail.data.passes as passes
+import zinctrail.seam as seam
+import zinctrail.sim.world as world
+
+ms = seam.ms
+CELL = 'r0/c0'
+
+
+# -- one control node, its partners played -------------------------------------
+
+
+class Played:
+    """A control node that leads, and asks that b puts to it."""
+
+    def __init__(self):
+        self.node = control_steps.Node()
+        self.node.serve()
+        self.epoch = self.node.m.rep.get('meta', 'epoch')
+
+    def do(self, op, **args):
+        return self.node.do(op, **args)
+
+    def newest(self):
+        return [self.node.m.term, self.node.m.round]
+
+    def put(self, op, args, **more):
+        """The outcome of an ask's frame; None where none is told."""
+        before = len(self.node.sent('ask_re'))
+        self.node.recv('b', 'ask', key='k.1', op=op, args=args, **more)
+        self.node.run(200)
+        told = self.node.sent('ask_re')[before:]
+        return told[-1]['result'] if told else None
+
+    def state(self):
+        return {t: dict(r) for t, r in self.node.m.rep.tables.items() if t not in ('meta', 'members', 'duties')}
+
+    def endpoint(self, inc, seq, state='ready', port=80, **more):
+        return dict(inc=inc, addr=f'10.1.0.1:{port}', service='s', cell=CELL, slots=4, seq=seq, state=state, **more)
+
+    def labels(self, value):
+        doc = {'pools': {}, 'rules': {}, 'cells': {}, 'labels': {'10.9.9.9:1': {'a': value}}}
+        return {'config': doc, 'base': self.node.m.rep.get('meta', 'conf') or 0, 'id': f'{self.epoch}.c{value}'}
+
+
+def items_of(version):
+    pool = {'name': 's', 'version': version, 'health': '/h', 'connections': version, 'cold_s': 1.0, 'cold_per_s': 1.0}
+    return {'change': {'set': {'pools': [pool]}}}
+
+
+HOLD = {'name': 'l', 'holder': 'x', 'lease_ms': 5000}
+CLAIM = {'attempt': 1, 'proxy': 'p', 'at': '10.2.0.1:1'}
+
+
+def take(played, holder):
+    return played.do('lock.take', name='l', holder=holder, lease_ms=5000)['take']
+
+
+def hold(played, holder):
+    return played.do('lock.hold', name='l', holder=holder, lease_ms=5000)['fence']
+
+
+def yielded(played, holder, fence):
+    assert played.do('lock.yield', name='l', holder=holder, fence=fence)['freed']
+
+
+def other_holds(played, args):
+    fence = played.node.m.rep.get('locks', 'l')['fence']
+    yielded(played, 'x', fence)
+    hold(played, 'y')
+
+
+def key_put(played, value):
+    return {'key': 'k', 'value': value, 'id': f'{played.epoch}.k{value}'}
+
+
+def claim(played, nonce, attempt=1):
+    return dict(CLAIM, id=f'{played.epoch}.r', nonce=nonce, attempt=attempt)
+
+
+def close(played, nonce):
+    return {'id': f'{played.epoch}.r', 'nonce': nonce}
+
+
+# {operation: (what is asked, what happens between)}; the first may prepare, and gives the arguments.
+ROWS = {
+    'cell.empty': (
+        lambda p: {'cell': CELL, 'on': True},
+        lambda p, a: p.do('cell.empty', cell=CELL, on=False),
+    ),
+    'lock.hold': (lambda p: HOLD, other_holds),
+    'lock.take': (lambda p: dict(HOLD, id='t1'), other_holds),
+    'lock.renew': (lambda p: dict(HOLD, fence=hold(p, 'x')), other_holds),
+    'lock.yield': (
+        lambda p: {'name': 'l', 'holder': 'x', 'fence': hold(p, 'x')},
+        lambda p, a: hold(p, 'x'),
+    ),
+    'lock.free': (
+        lambda p: {'name': 'l', 'holder': 'x', 'take': take(p, 'x')},
+        lambda p, a: take(p, 'x'),
+    ),
+    'number.next': (
+        lambda p: {'name': 'n', 'id': f'{p.epoch}.n1'},
+        lambda p, a: p.do('number.next', name='n', id=f'{p.epoch}.n2'),
+    ),
+    'number.step': (lambda p: {'name': 'n'}, lambda p, a: p.do('number.step', name='n')),
+    'cell.put': (
+        lambda p: {'name': 'g.a', 'value': 'v1'},
+        lambda p, a: p.do('cell.put', name='g.a', value='v2'),
+    ),
+    'key.put': (lambda p: key_put(p, 'v1'), lambda p, a: p.do('key.put', **key_put(p, 'v2'))),
+    'key.drop': (
+        lambda p: p.do('key.put', **key_put(p, 'v1')) and {'key': 'k', 'id': f'{p.epoch}.kd'},
+        lambda p, a: p.do('key.put', **key_put(p, 'v2')),
+    ),
+    'items.apply': (lambda p: items_of(1), lambda p, a: p.do('items.apply', **items_of(2))),
+    'config.apply': (lambda p: p.labels('1'), lambda p, a: p.do('config.apply', **p.labels('2'))),
+    'claim': (lambda p: claim(p, 'n1'), lambda p, a: p.do('close', **close(p, 'n1'))),
+    'close': (
+        lambda p: p.do('claim', **claim(p, 'n1')) and close(p, 'n1'),
+        lambda p, a: p.do('claim', **claim(p, 'n2', attempt=2)),
+    ),
+    'beat': (lambda p: p.endpoint('e', 4), lambda p, a: p.do('beat', **p.endpoint('e', 5, 'draining'))),
+    'leave': (
+        lambda p: p.do('beat', **p.endpoint('e', 4)) and {'inc': 'e'},
+        lambda p, a: p.do('beat', **p.endpoint('f', 1)),
+    ),
+}
+
+
+@behave.given('a core node that leads, for asks of all kinds')
+def _(context):
+    context.played = Played()
+
+
+@behave.when('{op} is asked of it and done, and then {between}')
+def _(context, op, between):
+    played = context.played
+    prepare, then = ROWS[op]
+    context.op, context.args = op, prepare(played)
+    context.first = played.put(op, context.args, seen=played.newest())
+    assert context.first['status'] == 200, context.first
+    context.term = played.node.m.term
+    got = then(played, context.args)
+    assert got is None or not isinstance(got, dict) or got['status'] == 200, got
+
+
+@behave.when('another master leads, and the same ask comes again')
+def _(context):
+    played = context.played
+    control_steps.new_master(played.node)
+    context.state = played.state()
+    context.copy = played.put(context.op, context.args, seen=played.newest(), since=context.term)
+
+
+@behave.then('the copy is told {status:d}, and changes nothing')
+def _(context, status):
+    assert context.copy['status'] == status, context.copy
+    now, was = context.played.state(), context.state
+    if context.op == 'number.step':
+        # A gap in the numbers is nobody's concern; the copy's number is above all before it.
+        assert context.copy['number'] == now['numbers'].pop('n') > was['numbers'].pop('n')
+    assert now == was, (was, now)
+
+
+@behave.then('the rows of asks name every operation that acts')
+def _(context):
+    acting = {op for op in [*core.SERVES, *coord.OPS] if op not in core.READS} | {'beat'}
+    assert set(ROWS) == acting, acting ^ set(ROWS)
+    known = [op for op in acting if context_free_known(op)]
+    assert sorted(acting - set(known)) == sorted(core.UNNAMED)
+
+
+def context_free_known(op):
+    return core.Core.known_again(None, op)
+
+
+@behave.when('{op} is asked of it by a frame that names {seen}')
+def _(context, op, seen):
+    played = context.played
+    context.args = ROWS[op][0](played)
+    old = played.newest()
+    played.node.run(2000)
+    context.state = played.state()
+    term, newest = played.newest()
+    names = {
+        'its newest round': {'seen': [term, newest]},
+        'a round of 2 s ago': {'seen': old},
+        'a round of another master': {'seen': [term - 1, newest]},
+        'a round that never was': {'seen': [term, newest + 5]},
+        'no round, as the level before': {},
+    }
+    context.told = played.put(op, context.args, **names[seen])
+
+
+@behave.then('the ask is {taken}')
+def _(context, taken):
+    played = context.played
+    if taken == 'done':
+        assert context.told['status'] == 200 and played.state() != context.state, context.told
+    else:
+        assert context.told is None and played.state() == context.state, context.told
+
+
+EMPTY = seam.Call('POST', '/v1/cell/empty', {}, json.dumps({'cell': CELL, 'on': True}).encode())
+
+
+@behave.given('a core node that follows, and asks b to empty a cell')
+def _(context):
+    node = context.node = control_steps.Node()
+    node.follow('b', 3)
+    node.recv('b', 'chk', term=3, to='a', round=2, http='')
+    node.feed('http', 1, EMPTY)
+    asked = node.sent('ask')
+    assert [(a['seen'], 'since' in a) for a in asked] == [([3, 2], False)], asked
+
+
+@behave.when('c leads the next term instead')
+def _(context):
+    node = context.node
+    node.feed('lost', control_steps.addr('b'))
+    rows = [['numbers', 'n', 1]]
+    node.recv('c', 'pub', term=4, at=[4, 10], base=list(node.m.rep.accepted), rows=rows, http='')
+    assert node.m.master['id'] == 'c'
+
+
+@behave.then('c is asked only once it has checked the node, and told of the earlier term')
+def _(context):
+    node = context.node
+    assert not node.sent('ask', 'c')
+    node.recv('c', 'chk', term=4, to='a', round=7, http='')
+    asked = node.sent('ask', 'c')
+    assert [(a['seen'], a['since']) for a in asked] == [([4, 7], 3)], asked
+
+
+@behave.when('the node itself leads the next term')
+def _(context):
+    context.node.serve()
+
+
+@behave.then('the call is told {status:d} and nothing is emptied')
+def _(context, status):
+    node = context.node
+    assert node.told[1][0] == status, node.told
+    assert not node.m.rep.get('cells'), node.m.rep.get('cells')
+
+
+@behave.when('an endpoint beats, its cell is emptied and taken back, and one late beat comes twice')
+def _(context):
+    played = context.played
+    played.do('beat', **played.endpoint('e', 4))
+    for on in (True, False):
+        played.do('cell.empty', cell=CELL, on=on)
+    for _ in range(2):
+        control_steps.new_master(played.node)
+        played.do('beat', **played.endpoint('e', 5))
+
+
+@behave.then('the endpoint is still taken for cold')
+def _(context):
+    assert context.played.node.m.rep.get('endpoints', 'e')['chill']
+
+
+@behave.then('the next beat but one warms it')
+def _(context):
+    played = context.played
+    for seq in (6, 7):
+        played.do('beat', **played.endpoint('e', seq))
+    assert not played.node.m.rep.get('endpoints', 'e')['chill']
+
+
+@behave.when('a probe of an endpoint is under way and {whose} answers that it is gone')
+def _(context, whose):
+    played, m = context.played, context.played.node.m
+    played.do('beat', **played.endpoint('e', 4))
+    context.inc = 'e'
+    # Two askings of b: the first was given up.
+    m.probing['e'] = {'at': m.now, 'by': 'b', 'tried': [], 'no': 8}
+    body = {'inc': 'e', 'ok': False, 'refused': True, 'no': 8}
+    if whose == 'the prober, to an earlier asking':
+        body['no'] = 7
+    elif whose == 'the prober, as the level before':
+        del body['no']
+    played.node.recv('c' if whose == 'another node' else 'b', 'probe_ep_re', **body)
+    played.node.run(200)
+
+
+@behave.then('that endpoint is {left}')
+def _(context, left):
+    there = context.played.node.m.rep.get('endpoints', 'e') is not None
+    assert there == (left == 'kept')
+
+
+@behave.given('a proxy that asks another for the outcome of request 5.a')
+def _(context):
+    b = context.bench = open_steps.Bench(1)
+    rec = passes.Record(1, seam.Call('GET', '/r/s/', {}, b''), b.now, passes=passes.PASSES)
+    rec.id, rec.parked = '5.a', 'holder'
+    b.p.table[1], b.p.asks_kept[7] = rec, rec
+
+
+@behave.when('it is answered {what}')
+def _(context, what):
+    b = context.bench
+    body = {'t': 'kept_re', 'v': b.p.level, 'c': '', 'f': 'q', 'a': '10.0.1.9:1', 'key': 7, 'cell': ''}
+    body['outcome'] = [200, {'zt-outcome': 'ran'}, 'eA==']
+    if what.startswith('the outcome of '):
+        body['id'] = what.split()[-1]
+    b.feed('recv', body)
+
+
+@behave.then('the caller of 5.a is told {told}')
+def _(context, told):
+    out = context.bench.outcome(1)
+    assert (str(out.status) if out else 'nothing') == told, out
+
+
+# -- three control nodes, in virtual time ---------------------------------------
+
+
+class Late(world.World):
+    """Asks are copied late to every control node; their answers get lost."""
+
+    hang_ups = True
+    COPIED = 0.4
+    LOST = 0.25
+    LATEST = ms(9000)
+
+    def carry(self, src, addr, msg):
+        if msg['t'] == 'ask_re' and self.rng.random() < self.LOST:
+            return
+        if msg['t'] == 'ask':
+            text = json.dumps(msg)
+            for dst in self.of('core'):
+                if dst is not src and self.rng.random() < self.COPIED:
+                    self.after(self.LATEST * self.rng.random(), self.arrive_late, dst, text)
+        super().carry(src, addr, msg)
+
+    def arrive_late(self, dst, text):
+        # Whatever lives at that address by then gets it.
+        dst.feed('recv', json.loads(text))
+
+
+class Caller:
+    """Gives one order after the other, each to any node until it is acknowledged; then its effect must stand."""
+
+    def __init__(self, w, orders):
+        self.w, self.orders = w, orders
+        self.rng = random.Random(f'{w.seed}/{orders.__name__}')
+        self.stands = None
+        self.wrong = []
+        self.done = 0
+        self.source = orders(self)
+        self.next()
+
+    def next(self):
+        self.stands = None
+        self.path, self.body, self.check = next(self.source)
+        self.send()
+
+    def send(self):
+        node = self.rng.choice(self.w.of('core'))
+        body = json.dumps(self.body).encode()
+        d = self.w.fetch('caller', node.place.http, 'POST', self.path, {}, body, ms(1000))
+        d.addCallback(self.told)
+
+    def told(self, res):
+        if res.fault or res.status not in (200, 409, 410):
+            self.w.after(ms(self.rng.uniform(20, 200)), self.send)
+            return
+        self.done += 1
+        self.answer = json.loads(res.body)
+        self.stands = self.check
+        self.look()
+        # Longer than a frame may be under way and still act.
+        self.w.after(ms(self.rng.uniform(2200, 4000)), self.next)
+
+    def look(self):
+        """While nothing else is ordered, whatever master there is holds what was acknowledged."""
+        if self.stands is None:
+            return
+        master = self.w.master()
+        if master is not None and not self.stands(master.machine.rep):
+            self.wrong.append((self.w.now, self.path, self.body))
+            self.stands = None
+            return
+        self.w.after(ms(20), self.look)
+
+
+def evacuations(caller):
+    while True:
+        for on in (True, False):
+            body = {'cell': CELL, 'on': on}
+            yield '/v1/cell/empty', body, lambda rep, on=on: bool((rep.get('cells', CELL) or {}).get('emptied')) == on
+
+
+def locks(caller):
+    while True:
+        body = {'name': 'l', 'holder': 'x', 'lease_ms': 60000}
+        yield '/v1/lock/hold', body, lambda rep: (rep.get('locks', 'l') or {}).get('holder') == 'x'
+        body = {'name': 'l', 'holder': 'x', 'fence': caller.answer['fence']}
+        # A call given up on may have held it anew beside the one that was answered, so that the yield frees nothing;
+        # but none may hold it anew after the yield's acknowledgement.
+        held = []
+        yield '/v1/lock/yield', body, lambda rep, held=held: nobody_holds_anew(rep, held)
+
+
+def nobody_holds_anew(rep, held):
+    """Whether the lock is free, or under the fence that it had when this was first asked, kept in `held`."""
+    fence = (rep.get('locks', 'l') or {'fence': 0})['fence']
+    if not held:
+        held.append(fence)
+    return fence in (0, held[0])
+
+
+def numbers(caller):
+    last = 0
+    while True:
+        yield '/v1/number/step', {'name': 'n'}, lambda rep: True
+        if caller.answer['number'] <= last:
+            caller.wrong.append((caller.w.now, last, caller.answer))
+        last = caller.answer['number']
+
+
+def values(caller):
+    for n in range(10**6):
+        value = f'v{n}'
+        yield (
+            '/v1/cell/put',
+            {'name': 'g.a', 'value': value},
+            lambda rep, value=value: (rep.get('values', 'g.a') or {}).get('value') == value,
+        )
+
+
+def beats(caller):
+    for life in range(10**6):
+        inc, row = f'i{life}', {'addr': '10.1.0.1:80', 'service': 's', 'cell': CELL, 'slots': 4}
+        for seq, state in ((1, 'ready'), (2, 'draining')):
+            body = dict(row, inc=inc, seq=seq, state=state)
+            yield (
+                '/v1/beat',
+                body,
+                lambda rep, inc=inc, state=state: (rep.get('endpoints', inc) or {'state': state})['state'] == state,
+            )
+        yield '/v1/leave', {'inc': inc}, lambda rep, inc=inc: rep.get('endpoints', inc) is None
+
+
+@behave.given(
+    'a core of three whose asks are copied up to 9 s late to all of them, and their answers lost, under seed {seed:d}'
+)
+def _(context, seed):
+    w = context.w = Late(seed, bounds.Bounds())
+    for i in range(3):
+        w.add(f'k{i}', 'core', f'r0/c{i}')
+    for node in w.of('core'):
+        node.place.seeds = [other.place.addr for other in w.of('core')]
+        node.start()
+    assert w.run(ms(20000), lambda: w.master() is not None)
+
+
+def trouble(w, rng):
+    """One master after the other dies, freezes or is cut off, for a while."""
+    master = w.master()
+    if master is not None and all(n.up and n.paused is None for n in w.of('core')) and not w.cuts:
+        what = rng.choice(('kill', 'freeze', 'cut'))
+        length = ms(rng.uniform(1500, 3500))
+        if what == 'kill':
+            master.kill(power=True)
+            w.after(length, master.start)
+        elif what == 'freeze':
+            master.pause(length)
+        else:
+            w.isolate(master.name)
+            w.after(length, w.heal)
+    w.after(ms(rng.uniform(3000, 8000)), trouble, w, rng)
+
+
+@behave.when(
+    'callers give orders, locks, numbers, values and beats for {s:d} s while masters die, freeze and are cut off'
+)
+def _(context, s):
+    w = context.w
+    context.callers = [Caller(w, orders) for orders in (evacuations, locks, numbers, values, beats)]
+    trouble(w, random.Random(f'{w.seed}/trouble'))
+    w.run(ms(1000 * s))
+
+
+@behave.then('after each acknowledgement its effect stands until the next order')
+def _(context):
+    wrong = [case for caller in context.callers for case in caller.wrong]
+    assert not wrong, wrong
+    assert all(caller.done >= 5 for caller in context.callers), [c.done for c in context.callers]
--- a/zinctrail/agree/asks.py
+++ b/zinctrail/agree/asks.py
@@ -1,4 +1,17 @@
-"""Operations that other members ask the master to do, each of them once."""
+"""Operations that other members ask the master to do, each of them once.
+
+An ask is put again while its caller waits, to the same master and to the next
+one, so a master may meet several copies of it. Three things keep a copy from
+acting a second time:
+
+- a master remembers the outcomes of its own term by the ask's key;
+- a frame names the check round that its sender saw last, and is not acted on
+  once that round is older than any that a member in touch can quote: a frame
+  that was held up on its way acts at no later time, under no master;
+- an ask that an older master may have done is done again only where the state
+  knows it again by what it says (its id, version, fence or value). Any other
+  gets an outcome that is unknown.
+"""
 
 import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.partner as partner
@@ -18,6 +31,15 @@
         else:
             super().ask(op, args, cb, wait)
 
+    def serve_waiting(self):
+        """Do what waited here for a master, now that this node is the master."""
+        asks, self.asks = self.asks, {}
+        for a in asks.values():
+            if a.since is not None and not self.known_again(a.op, a.args):
+                a.cb(dict(outcomes.LOST))
+            else:
+                self.serve_call(a.op, a.args, lambda res, a=a: a.told(res, 0))
+
     def m_ask(self, env):
         addr, key = env['a'], env['key']
         if self.mode != 'leader' or self.stopping:
@@ -29,6 +51,13 @@
         if key in self.told:
             self.tell(addr, 'ask_re', key=key, result=self.told[key][1])
             return
+        if self.held_up(env):
+            # No answer: whoever still waits for it puts it again with a round that is newer.
+            self.counts['late_asks'] += 1
+            return
+        if env.get('since', self.term) < self.term and not self.known_again(env['op'], env['args']):
+            self.tell(addr, 'ask_re', key=key, result=outcomes.LOST)
+            return
         self.asked.add(key)
         peer = self.peers.get(env['f'])
         # Proxies and directories put what was refused to the next master; callers of control nodes don't wait so long.
@@ -45,10 +74,25 @@
 
         self.serve_call(env['op'], env['args'], done, patient)
 
+    def held_up(self, env):
+        """Whether an ask was under way for so long that its caller may have gone on to something else."""
+        if 'seen' not in env:
+            # Members of the level before name no round.
+            return False
+        term, number = env['seen']
+        checked = self.rounds.get(number)
+        # As long as a member may be silent: one in touch has seen a newer round.
+        oldest = self.now - self.bounds.check * (self.bounds.misses + 1)
+        return term != self.term or checked is None or checked['start'] < oldest
+
     def acts(self, op):
         """For the role: whether doing it twice differs from doing it once."""
         return True
 
+    def known_again(self, op, args):
+        """For the role: whether doing it again, after others acted, is the same as having done it once."""
+        return False
+
     def serve(self, op, args, cb):
         """For the role: the operations a master does for the others."""
         cb({'status': 404, 'fault': f'no operation {op}'})
--- a/zinctrail/agree/elections.py
+++ b/zinctrail/agree/elections.py
@@ -185,9 +185,7 @@
         """The first generation of our term is in force: what waited for a master is served."""
         # Why at once: many have no lease yet, and what they answer from here on makes one.
         self.alarm('chk', seam.ZERO)
-        asks, self.asks = self.asks, {}
-        for a in asks.values():
-            self.serve_call(a.op, a.args, lambda res, a=a: a.told(res, 0))
+        self.serve_waiting()
 
     def follow(self, env, pace=None):
         # A master that is deposed by its successor's own frame ends its term first: what waits is answered, and it
--- a/zinctrail/agree/frames.py
+++ b/zinctrail/agree/frames.py
@@ -130,7 +130,8 @@
     'piece_re': {'term': count, 'at': pair, 'base': maybe(pair), 'have': count},
     'com': {'term': count, 'at': pair},
     'com_re': {'term': count, 'at': pair},
-    'ask': {'key': text, 'op': text, 'args': table(any_)},
+    # seen: the term and the check round that the asker saw last; since: the term in which it was first put.
+    'ask': {'key': text, 'op': text, 'args': table(any_), 'seen_': pair, 'since_': count},
     'ask_re': {'key': text, 'result': fields(status=whole)},
     'leave': {'waits_': flag},
     'leave_re': {},
@@ -144,8 +145,8 @@
     'boot_re': {'ok': flag},
     'retired': {'of': many(text)},
     'succeed': {'term': count},
-    'probe_ep': {'inc': text, 'end': is_addr},
-    'probe_ep_re': {'inc': text, 'ok': flag, 'refused_': flag},
+    'probe_ep': {'inc': text, 'end': is_addr, 'no_': count},
+    'probe_ep_re': {'inc': text, 'ok': flag, 'refused_': flag, 'no_': count},
     'suspect': {'inc': text},
     'ill': {'ends': table(two_counts)},
     'want': {
@@ -163,7 +164,7 @@
     'held': {'pool': text, 'fence': count, 'held': use, 'use': use},
     'ledger': {'pool': text, 'fence': count, 'ledger': table(held)},
     'kept': {'key': count, 'id': text},
-    'kept_re': {'key': count, 'outcome': maybe(outcome), 'cell_': text},
+    'kept_re': {'key': count, 'outcome': maybe(outcome), 'cell_': text, 'id_': text},
 }
 
 
--- a/zinctrail/agree/partner.py
+++ b/zinctrail/agree/partner.py
@@ -52,6 +52,8 @@
         self.first_at = None
         self.at = seam.ZERO
         self.puts = 0
+        # The term of the first master that it was put to.
+        self.since = None
 
     def told(self, res, mine):
         """`mine`: how many of the puts this outcome speaks for."""
@@ -71,6 +73,8 @@
     level = zinctrail.WIRE_LEVEL
     # How long what was asked waits for a master to be known at all.
     election_wait = LONE
+    # Whether its asks name the check round that it saw last.
+    dates_asks = True
 
     def __init__(self, place: Place, bounds: bounds_.Bounds, rng, node: str = ''):
         super().__init__(rng)
@@ -366,7 +370,11 @@
             return
         # Why kept: a lease is counted from our own stamp, so a grant late on the wire can't stretch it.
         # Why the first: an answer may have gone out then, and a lease rests on what was true before it.
+        first = not self.acks
         self.acks.setdefault(env['round'], self.now)
+        if first and self.dates_asks:
+            # What waited for this master can be put to it now: an ask names a round of the master it is for.
+            self.retry_asks()
         if 'ack' in env:
             self.granted(env['ack'])
         while len(self.acks) > 32:
@@ -539,11 +547,21 @@
 
     def _put_ask(self, key):
         a = self.asks[key]
-        if self.master:
-            a.at = self.now
-            a.first_at = a.first_at or self.now
-            a.puts += 1
-            self.tell(self.master['addr'], 'ask', key=key, op=a.op, args=a.args)
+        if not self.master or (self.dates_asks and not self.acks):
+            # Without a round of this master nothing is put to it; its first check comes with its first word.
+            return
+        a.at = self.now
+        a.first_at = a.first_at or self.now
+        a.puts += 1
+        a.since = a.since or self.term
+        more = {}
+        if self.dates_asks:
+            # The newest round names a moment, by the master's own clock, at which the caller still waited: so a frame
+            # that was held up on its way is known as late.
+            more['seen'] = [self.term, next(reversed(self.acks))]
+        if a.since != self.term:
+            more['since'] = a.since
+        self.tell(self.master['addr'], 'ask', key=key, op=a.op, args=a.args, **more)
 
     def drop_ask(self, cb):
         """Nobody waits for this outcome any more: it is put to no further master."""
@@ -551,7 +569,8 @@
             del self.asks[key]
 
     def retry_asks(self):
-        # Why safe to put again: every op that acts carries an id the master knows it by.
+        # Safe to put again: a master knows its own asks by their keys, and the state knows most by what they say;
+        # those that it does not know are refused by a master of a later term (agree/asks.py).
         for key in list(self.asks):
             self._put_ask(key)
 
--- a/zinctrail/ctl/core.py
+++ b/zinctrail/ctl/core.py
@@ -259,6 +259,9 @@
                 if other != inc and there['addr'] == row['addr']:
                     self.gone(txn, other)
             new = row if seq is None else dict(row, seq=seq)
+            if old and old.get('chill') and seq is not None and seq == old.get('seq'):
+                # A copy of the beat that is known, put again to another master, says nothing new of its warmth.
+                return {'status': 200}
             if old and old.get('chill') == evacuations.CHILLED and seq is not None:
                 # Why not by one beat: it may have been sent before the endpoint got cold.
                 new['chill'] = 1
@@ -311,12 +314,12 @@
         nodes = [self.node] + [n for n, p in self.peers.items() if p.role == 'core' and p.ack_at >= fresh]
         nodes = [n for n in nodes if n not in tried] or nodes
         by = min(nodes, key=lambda n: hashlib.blake2b(f'{n}/{inc}'.encode()).digest())
-        self.probing[inc] = {'at': self.now, 'by': by, 'tried': tried}
         self.counts['probes'] += 1
+        self.probing[inc] = {'at': self.now, 'by': by, 'tried': tried, 'no': self.counts['probes']}
         if by == self.node:
             self.run_probe(inc, row['addr'], lambda ok, refused: self.probed(inc, ok, refused))
         else:
-            self.tell(self.peers[by].addr, 'probe_ep', inc=inc, end=row['addr'])
+            self.tell(self.peers[by].addr, 'probe_ep', inc=inc, end=row['addr'], no=self.probing[inc]['no'])
 
     def run_probe(self, inc, addr, cb):
         self.fetch_no += 1
@@ -344,11 +347,18 @@
 
     def m_probe_ep(self, env):
         addr, inc = env['a'], env['inc']
+        named = {'no': env['no']} if 'no' in env else {}
         self.run_probe(
-            inc, env['end'], lambda ok, refused: self.tell(addr, 'probe_ep_re', inc=inc, ok=ok, refused=refused)
+            inc,
+            env['end'],
+            lambda ok, refused: self.tell(addr, 'probe_ep_re', inc=inc, ok=ok, refused=refused, **named),
         )
 
     def m_probe_ep_re(self, env):
+        probe = self.probing.get(env['inc'])
+        # Only of the probe under way: what an earlier prober found, who may have been cut off, comes too late.
+        if probe is None or probe['by'] != env['f'] or env.get('no', probe['no']) != probe['no']:
+            return
         if self.mode == 'leader':
             self.probed(env['inc'], env['ok'], env.get('refused', True))
 
@@ -476,6 +486,9 @@
         # A beat may bring an endpoint into the state.
         return operation in READS and operation != 'beat'
 
+    def known_again(self, op, args):
+        return op not in NAMED_BY_ID or 'id' in args
+
     def serve(self, op, args, cb):
         try:
             if op in SERVES:
@@ -656,6 +669,12 @@
     'beat',
 )
 
+# What the state knows again only by an id, which members of earlier releases don't send: without one, a copy would
+# undo what others ordered since. Of the others each is known by its id (key.put, key.drop, number.next, config.apply, claim, close), by a version or
+# number that rises (items.apply, beat), by a fence or taking (lock.free, lock.renew, lock.yield), by its holder
+# (lock.take, lock.hold), by its value (cell.put), or is final (leave); number.step leaves a gap.
+NAMED_BY_ID = ('cell.empty',)
+
 SERVES = {
     'beat': Core.serve_beat,
     'leave': Core.serve_leave,
--- a/zinctrail/data/proxy.py
+++ b/zinctrail/data/proxy.py
@@ -38,6 +38,8 @@
 
     role = 'prox'
     prefix = 'prox'
+    # It asks for claims and their closing only, once a request: their nonces say whose copies they are at any time.
+    dates_asks = False
 
     def __init__(self, place, bounds, rng):
         super().__init__(place, bounds, rng)
@@ -171,7 +173,7 @@
             if w.rid in self.table:
                 self.replay(w, kept) if kept.outcome else self.resume(w, passes.known)
         for key, addr in kept.asked:
-            self.tell_kept(addr, key, kept)
+            self.tell_kept(addr, key, rec.id, kept)
 
     # -- time -------------------------------------------------------------
 
--- a/zinctrail/data/run_once.py
+++ b/zinctrail/data/run_once.py
@@ -87,20 +87,25 @@
         if kept is not None and kept.open:
             kept.asked.append((env['key'], env['a']))
         else:
-            self.tell_kept(env['a'], env['key'], kept)
+            self.tell_kept(env['a'], env['key'], env['id'], kept)
 
-    def tell_kept(self, addr, key, kept):
+    def tell_kept(self, addr, key, rid, kept):
         outcome = None
         if kept is not None and kept.outcome:
             status, headers, body = kept.outcome
             outcome = [status, headers, base64.b64encode(body).decode()]
-        self.tell(addr, 'kept_re', key=key, outcome=outcome, cell=kept.cell if outcome else '')
+        self.tell(addr, 'kept_re', key=key, id=rid, outcome=outcome, cell=kept.cell if outcome else '')
 
     def m_kept_re(self, env):
-        rec = self.asks_kept.pop(env['key'], None)
-        if rec is None or rec.rid not in self.table:
+        rec = self.asks_kept.get(env['key'])
+        if rec is None or env.get('id', rec.id) != rec.id:
+            # It answers whoever had our address, and counted alike, before us.
             return
-        if not env['outcome']:
+        del self.asks_kept[env['key']]
+        if rec.rid not in self.table:
+            return
+        if not env['outcome'] or 'id' not in env:
+            # A sender of the level before names no request, so that what it tells may be another's outcome.
             self.drop(rec, passes.Drop(504, 'claimed before, and its outcome is not known', passes.UNKNOWN))
             return
         status, headers, body = env['outcome']
