--- a/features/simulator.feature
+++ b/features/simulator.feature
@@ -107,3 +107,11 @@
     When all connections of a proxy are reset while it has calls under way
     Then their callers are told that the connection was lost
     And the proxy serves again within a second
+
+  Scenario: Faults joined by a colon follow one another within three seconds
+    Given an open day of "srv_crash+hup:node_kill_master:core_cut" whose faults are noted as they begin
+    Then the first two begin together, and each of the others 0.1 to 3 s after the one before
+
+  Scenario: A search joins faults both ways, and leaves them out one by one
+    Then of 50 planned days some have faults that begin together and some that follow
+    And "a+b:c" without its first fault is "b:c", and without its second "a:c"
--- a/features/steps/simulator_steps.py
+++ b/features/steps/simulator_steps.py
@@ -7,6 +7,7 @@
 import zinctrail.sim.open_cast as open_cast
 import zinctrail.sim.open_checks as open_checks
 import zinctrail.sim.open_days as open_days
+import zinctrail.sim.search as search
 
 ms = seam.ms
 
@@ -210,3 +211,44 @@
     ]
     assert served
     assert min(tr['t'] for tr in served) < context.reset_at + ms(1000), served[0]['t']
+
+
+# -- one fault after another ---------------------------------------------------------------------
+
+
+@behave.given('an open day of "{group}" whose faults are noted as they begin')
+def _(context, group):
+    day = open_days.Day(1, drift=0.0)
+    context.begun = []
+
+    def note(name):
+        def begin(day):
+            context.begun.append((day.world.now, name))
+            return ms(500)
+
+        return begin
+
+    day.faults = {name: note(name) for name in days.names_of(group)}
+    day.strike(group)
+    assert [name for _, name in context.begun] == days.names_of(group), context.begun
+
+
+@behave.then('the first two begin together, and each of the others 0.1 to 3 s after the one before')
+def _(context):
+    times = [at for at, _ in context.begun]
+    assert times[0] == times[1]
+    assert all(ms(100) <= b - a <= ms(3000) for a, b in zip(times[1:], times[2:], strict=False)), times
+
+
+@behave.then('of {count:d} planned days some have faults that begin together and some that follow')
+def _(context, count):
+    text = ' '.join(' '.join(search.plan(seed, open_days)) for seed in range(count))
+    assert '+' in text and ':' in text
+
+
+@behave.then('"{group}" without its first fault is "{second}", and without its second "{first}"')
+def _(context, group, second, first):
+    links = search.links(group)
+    assert search.group_of(links) == group
+    assert search.group_of(links[1:]) == second
+    assert search.group_of(links[:1] + links[2:]) == first
--- a/zinctrail/sim/days.py
+++ b/zinctrail/sim/days.py
@@ -3,11 +3,13 @@
   python -m zinctrail.sim.days --seed=7 --faults=kill_master,split_core
 
 Each fault begins, schedules its own end, and returns how long until all that
-may come back has come back. Names joined by + begin together.
+may come back has come back. Names joined by + begin together; a name after a
+colon begins a moment after those before it (FOLLOWS_MS).
 """
 
 import copy
 import random
+import re
 import sys
 
 import zinctrail.bounds as bounds
@@ -20,6 +22,8 @@
 ms = seam.ms
 SHAPES = fleet.PRESETS
 FAULTS = {}
+# How long after the faults before a colon those after it begin: while the first are under repair, or just after it.
+FOLLOWS_MS = (100, 3000)
 # What a day gets in place of one disk too many.
 ALONE = 'kill_master'
 # Faults after which a control node's disk is gone: no two of them belong into one day.
@@ -31,10 +35,16 @@
     return fn
 
 
+def names_of(group):
+    """The faults of one group, such as a+b:c, in their order."""
+    return re.split('[+:]', group)
+
+
 class Day:
     """One seeded run: start, load, faults, a quiet end, verdicts."""
 
     checks = checks
+    faults = FAULTS
 
     def __init__(
         self,
@@ -107,8 +117,7 @@
             began = w.now
             c.notes.begins.append(w.now)
             self.note(f'fault {name}')
-            # Why the longest: nothing counts as lost until all of it may be back.
-            w.run(max(FAULTS[one](self) for one in name.split('+')))
+            self.strike(name)
             # Why noted: from here on everything that may come back is back.
             c.notes.losses.append((w.now, name))
             w.run(max(ms(0), began + per - w.now))
@@ -118,6 +127,16 @@
         c.quiet()
         return self
 
+    def strike(self, group):
+        """Begin all faults of a group, and run until whatever may come back is back."""
+        world, back_at = self.world, []
+        for i, together in enumerate(group.split(':')):
+            if i:
+                world.run(ms(self.rng.uniform(*FOLLOWS_MS)))
+            back_at += [world.now + self.faults[name](self) for name in together.split('+')]
+        # The longest, since nothing counts as lost until all of it may be back.
+        world.run(max(ms(0), max(back_at) - world.now))
+
     def reader(self):
         if self.world.now < ms(10**7):
             self.cast.op.read()
@@ -891,7 +910,7 @@
 
         return search.main(opts, kind.__name__)
     names = [n for n in opts.get('faults', '').split(',') if n]
-    unknown = [n for group in names for n in group.split('+') if n not in kind.FAULTS]
+    unknown = [n for group in names for n in names_of(group) if n not in kind.FAULTS]
     if unknown:
         print(f'no such faults: {", ".join(unknown)}', file=sys.stderr)
         return 2
--- a/zinctrail/sim/open_days.py
+++ b/zinctrail/sim/open_days.py
@@ -59,6 +59,7 @@
     """One seeded run: start, load, faults, a closing fault where one is named, a quiet end, read-back, verdicts."""
 
     checks = open_checks
+    faults = FAULTS
 
     def __init__(self, seed, names=(), shape='small', length=ms(30000), trace=False, rate=None, coord=True, drift=None):
         self.seed, self.names, self.length, self.rate, self.coord = seed, list(names), length, rate, coord
@@ -85,7 +86,7 @@
         for name in plain:
             began = w.now
             self.note(f'fault {name}')
-            w.run(max(FAULTS[one](self) for one in name.split('+')))
+            self.strike(name)
             w.run(max(ms(0), began + per - w.now))
         if not plain:
             w.run(self.length)
--- a/zinctrail/sim/search.py
+++ b/zinctrail/sim/search.py
@@ -4,9 +4,11 @@
 import importlib
 import multiprocessing
 import random
+import re
 import traceback
 
 import zinctrail.seam as seam
+import zinctrail.sim.days as sim_days
 
 
 def plan(seed, days):
@@ -21,12 +23,20 @@
             disks += 1
             if disks > 1:
                 names.remove(name)
-        out.append('+'.join(names) or days.ALONE)
+        out.append(joined(rng, names) if names else days.ALONE)
     if closing and rng.random() < 0.3:
         out.append(rng.choice([c for c in closing if not (disks and c in days.LOSE_DISK)]))
     return out
 
 
+def joined(rng, names):
+    """A group of faults: most begin together, some follow on the one before."""
+    group = names[0]
+    for name in names[1:]:
+        group += rng.choice('++:') + name
+    return group
+
+
 def one(job):
     kind, seed, shape, seconds, rate, names = job
     days = importlib.import_module(kind)
@@ -34,7 +44,7 @@
     try:
         day = days.Day(seed, names, shape, seam.ms(1000 * seconds), rate=rate).run()
         bad = day.verdicts()
-        hit = [n for group in names for n in group.split('+') if n not in day.missed]
+        hit = [n for group in names for n in sim_days.names_of(group) if n not in day.missed]
         return seed, names, bad, day.cast.tally(), day.again(), day.checks.figures(day.cast), hit
     except Exception as e:
         # Why caught: one broken seed must not hide the others.
@@ -51,6 +61,16 @@
         )
 
 
+def links(group):
+    """A group as (how it is joined to the one before, fault)."""
+    parts = re.split('([+:])', f'+{group}')
+    return list(zip(parts[1::2], parts[2::2], strict=True))
+
+
+def group_of(joined_names):
+    return ''.join(how + name for how, name in joined_names)[1:]
+
+
 def shrink(opts, names, kind):
     """Leave out faults one by one for as long as the same kind of finding stays."""
 
@@ -69,7 +89,7 @@
             )[2]
         }
 
-    groups = [n.split('+') for n in names]
+    groups = [links(group) for group in names]
     sort = found(names)
     if not sort:
         print('nothing is found with all of them')
@@ -78,13 +98,13 @@
     while i < sum(map(len, groups)):
         flat = [(g, k) for g, names in enumerate(groups) for k in range(len(names))]
         g, k = flat[i]
-        less = [[n for x, n in enumerate(names) if (y, x) != (g, k)] for y, names in enumerate(groups)]
+        less = [[link for x, link in enumerate(names) if (y, x) != (g, k)] for y, names in enumerate(groups)]
         less = [names for names in less if names]
-        if less and sort & found(['+'.join(names) for names in less]):
+        if less and sort & found([group_of(names) for names in less]):
             groups = less
         else:
             i += 1
-    print(f'{sorted(sort)} stays with --faults={",".join("+".join(names) for names in groups)}')
+    print(f'{sorted(sort)} stays with --faults={",".join(map(group_of, groups))}')
     return 1
 
 
