Routes: what is kept of the members goes with the state version, not with a call

Change: kept for the state version that it was worked out of. Result: routes_kept, never_routes, never_items, control.feature: 80 passed.

--- a/zinctrail/ctl/routes.py
+++ b/zinctrail/ctl/routes.py
@@ -11,13 +11,14 @@
     def __init__(self, rep):
         self.rep = rep
         self.fresh = False
-        self.members_by_role = None
+        # What is kept of the members, and the state version that it is of.
+        self.members_by_role = {}
         self.fronts_by_cell = {}
+        self.members_at = None
 
     def stale(self):
         self.fresh = False
-        self.members_by_role = None
-        self.fronts_by_cell = {}
+        self.members_at = None
 
     def _work_out(self):
         if self.fresh:
@@ -138,17 +139,23 @@
 
     def members(self, role):
         """{node: row} of a role, not to be changed. Kept until the next change: requests and answers ask for it."""
-        if self.members_by_role is None:
-            self.members_by_role = {}
-            for node, row in self.rep.get('members').items():
-                self.members_by_role.setdefault(row['role'], {})[node] = row
+        self._look_at_members()
         return self.members_by_role.get(role, {})
 
+    def _look_at_members(self):
+        if self.members_at == self.rep.settled:
+            return
+        self.members_at = self.rep.settled
+        self.members_by_role, self.fronts_by_cell = {}, {}
+        for node, row in self.rep.get('members').items():
+            self.members_by_role.setdefault(row['role'], {})[node] = row
+
     def fronts(self, cell):
         """The fronts of open traffic that stay, as seen from a cell, not to be changed.
 
         Three tuples of addresses: in the cell, else in its region, elsewhere. Kept until the next change.
         """
+        self._look_at_members()
         found = self.fronts_by_cell.get(cell)
         if found is None:
             # A cell that nobody configured comes out of a request: how many are kept has to be bounded.
