Model: explores the real voters in every order, breadth first

python -m zinctrail.model: scopes, limits, invariants, guards that can be switched off, traces that replay. A node's step is carried out once on a real machine and remembered; a finding counts once it is played again on machines of its own.

--- a/zinctrail/model/explorer.py
+++ b/zinctrail/model/explorer.py
@@ -26,9 +26,23 @@
     'stands': lambda state, node: any(f.kind == 'sjoin' and f.source == node.index for f in state.frames),
     'publishes': lambda state, node: any(f.kind == 'pub' and f.source == node.index for f in state.frames),
 }
+# What a prelude runs until.
+MILESTONES = {
+    'the voting set is changing': lambda state: any(
+        row[:2] == ['meta', 'vc'] for frame in state.frames if frame.kind == 'pub' for row in rows_of(frame)
+    ),
+}
 BUDGETS = ('timers', 'crashes', 'wipes', 'losses', 'leaves', 'doubles', 'copies')
 
 
+class NotEnabled(Exception):
+    """A step that is to be played again can't be taken."""
+
+
+def rows_of(frame):
+    return json.loads(frame.text).get('rows', ())
+
+
 @dataclasses.dataclass(frozen=True)
 class Step:
     """One step of the cluster; `frame` is the text of the frame it delivers."""
@@ -99,9 +113,11 @@
         rows += [f'{number:3}. {step.line()}' for number, step in enumerate(self.steps, 1)]
         return '\n'.join(rows)
 
-    def document(self, scope):
+    def document(self, scope, guard=None):
+        """As JSON; `guard`: the one that was switched off."""
         return {
             'scope': scope,
+            'guard': guard,
             'invariant': self.invariant,
             'why': self.why,
             'steps': [dataclasses.asdict(step) for step in self.steps],
@@ -137,13 +153,16 @@
 class Explorer:
     """Explores one scope."""
 
-    def __init__(self, scope, remember=True, progress=None):
+    def __init__(self, scope, remember=True, progress=None, only=''):
         self.scope = scope
         self.limits = scope.limits
+        self.carried = scopes.ALL
         self.requests = {request.name: request for request in scope.requests}
         seeds = [roles.addr_of(i) for i in range(scope.voters)]
         self.nodes = nodes_.Nodes(scope.role, seeds, scope.requests, remember)
         self.progress = progress
+        # The one invariant to look for; all where it is empty.
+        self.only = only
         self.lives = scope.voters + scope.spares
         # How many voters there are, where the voting set and the disks stay as they are; else 0.
         changing = scope.spares or self.limits.wipes or self.limits.losses or self.limits.leaves
@@ -169,7 +188,9 @@
         order = sorted(state.nodes, key=lambda node: (node.view.mode != 'leader', node.index))
         places = [node.index for node in order]
         for move, *more in self.scope.prelude:
-            if move in UNTIL:
+            if move == 'run until':
+                state = self.run_until(state, MILESTONES[more[0]])
+            elif move in UNTIL:
                 index = places[more[0]]
                 while not UNTIL[move](state, state.nodes[index]):
                     state = self.one(state, Step('timer', index))
@@ -177,11 +198,27 @@
                 state = self.one(state, Step('request', places[more[1]], request=more[0]))
             else:
                 kind, source, target = more
-                for frame in [
-                    f for f in state.frames if (f.kind, f.source, f.target) == (kind, places[source], places[target])
-                ]:
+                way = kind, places[source], places[target]
+                for frame in [f for f in state.frames if (f.kind, f.source, f.target) == way]:
                     state = self.one(state, Step('deliver', frame.target, frame.source, frame.text))
-        return State(state.nodes, state.frames, state.history, (0,) * len(BUDGETS), state.put)
+        self.carried = self.scope.frames
+        frames = frozenset(frame for frame in state.frames if frame.kind in self.carried)
+        return State(state.nodes, frames, state.history, (0,) * len(BUDGETS), state.put)
+
+    def run_until(self, state, reached):
+        """One legal schedule, with nothing lost and alarms by age, until something holds."""
+        for _ in range(WARM_UP_MOST):
+            if reached(state):
+                return state
+            frame = min(state.frames, key=lambda frame: frame.digest, default=None)
+            if frame:
+                after = next(self.take(state, Step('deliver', frame.target, frame.source, frame.text)), None)
+                # A frame that changes nothing is as good as lost.
+                rest = state.frames - {frame}
+                state = after[0] if after else State(state.nodes, rest, state.history, state.used, state.put)
+            else:
+                state = self.one(state, Step('timer', min(state.nodes, key=lambda node: node.due).index))
+        raise AssertionError(f'{self.scope.name}: prelude does not come about')
 
     def one(self, state, step):
         """The state after a step without a power loss."""
@@ -255,9 +292,7 @@
         used = list(state.used)
         frames, put = state.frames, state.put
         if step.kind in ('deliver', 'double'):
-            frame = next(
-                f for f in frames if f.text == step.frame and f.target == step.node and f.source == step.source
-            )
+            frame = self.on_its_way(frames, step)
             if step.kind == 'deliver':
                 frames = frames - {frame}
             else:
@@ -303,6 +338,12 @@
                 rest = self.closed(state, step.node, frames)
                 yield self.after(state, dataclasses.replace(step, cut=number), again, rest, tuple(used), put)
 
+    def on_its_way(self, frames, step):
+        for frame in frames:
+            if (frame.source, frame.target, frame.text) == (step.source, step.node, step.frame):
+                return frame
+        raise NotEnabled(step.line())
+
     def until_it_acts(self, state, node):
         """The node's alarms one after another, to the first that others can see; the state before that, its result."""
         for _ in range(ALARMS_MOST):
@@ -351,7 +392,7 @@
                 if frame.kind in self.scope.prompt:
                     queue.append(self.nodes.feed(nodes[frame.target], 'recv', (frame.text,)))
                     nodes[frame.target] = queue[-1].state
-                elif frame.kind in self.scope.frames:
+                elif frame.kind in self.carried:
                     frames.add(frame)
         new = State(tuple(nodes), frozenset(frames), history, used, put, state, step)
         return new, tuple(answers)
@@ -385,7 +426,7 @@
             for new, answers in self.taken(state, step):
                 self.report.steps += 1
                 bad = invariants.broken(new, new.history, answers, self.requests, self.fixed_voters)
-                if bad and self.confirmed(new.path()):
+                if bad and self.only in ('', bad[0]) and self.confirmed(new.path()):
                     self.report.finding = Finding(*bad, new.path())
                     return
                 if max(node.view.term for node in new.nodes) > self.limits.term:
@@ -415,9 +456,9 @@
     def confirmed(self, steps):
         """Whether the steps lead to a finding on machines of their own, without any state that stands for another."""
         try:
-            if Explorer(self.scope, remember=False).replay(steps):
+            if Explorer(self.scope, remember=False, only=self.only).replay(steps):
                 return True
-        except ValueError:
+        except NotEnabled:
             pass
         self.report.cut_off['findings not confirmed'] += 1
         return False
@@ -444,9 +485,16 @@
             except nodes_.MachineBroke as fault:
                 return Finding(NO_EXCEPTION, str(fault), [*state.path(), step])
             if not found:
-                raise ValueError(f'not enabled: {step.line()}')
+                raise NotEnabled(step.line())
             state, answers = found[0]
             bad = invariants.broken(state, state.history, answers, self.requests, self.fixed_voters)
-            if bad:
+            if bad and self.only in ('', bad[0]):
                 return Finding(*bad, state.path())
         return None
+
+
+def replay(document):
+    """Plays a finding's document again, on machines of its own; the finding, or None."""
+    steps = [Step(**step) for step in document['steps']]
+    scope = scopes.SCOPES[document['scope']]
+    return Explorer(scope, remember=False, only=document['invariant']).replay(steps)
--- a/zinctrail/model/guards.py
+++ b/zinctrail/model/guards.py
@@ -32,6 +32,14 @@
     return bool(config) and 3 * len(set(nodes) & set(config)) >= len(config)
 
 
+def quorum_of_new(nodes, voting_set):
+    return bool(voting_set) and replica.quorum(nodes, voting_set['accepted'])
+
+
+def quorum_of_old(nodes, voting_set):
+    return bool(voting_set) and replica.quorum(nodes, voting_set['committed'])
+
+
 def count_any_vote(machine, env):
     COUNT_VOTE(machine, dict(env, accepted=[0, 0]))
 
@@ -90,18 +98,20 @@
         'new-leader',
         [(elections.Elections, 'm_vote', count_any_vote), (elections.Elections, 'm_prevote_re', count_any_prevote)],
     ),
-    'a generation fits its base': ('succession', [(replica.Replica, 'fits', fits_any_base)]),
-    'a generation is newer': ('succession', [(replica.Replica, 'fits', fits_any_time)]),
+    'a generation fits its base': ('late-copies', [(replica.Replica, 'fits', fits_any_base)]),
+    'a generation is newer': ('late-copies', [(replica.Replica, 'fits', fits_any_time)]),
     'answers count for their own term': ('succession', [(replication.Replication, 'answered', answered_in_any_term)]),
     'a master of an older term is refused': ('succession', [(partner.Partner, 'follow', follow_any_term)]),
+    'a majority of the old voting set': ('voting-set', [(replica, 'quorum_both', quorum_of_new)]),
+    'a majority of the new voting set': ('voting-set', [(replica, 'quorum_both', quorum_of_old)]),
     'reads wait for a quorum': ('reads', [(leases.Leases, 'fence', fence_at_once)]),
 }
 
 
 @contextlib.contextmanager
 def off(name):
-    """With a guard switched off."""
+    """With a guard switched off; with all on where `name` is empty."""
     with contextlib.ExitStack() as stack:
-        for owner, attribute, replacement in GUARDS[name][1]:
+        for owner, attribute, replacement in GUARDS[name][1] if name else ():
             stack.enter_context(unittest.mock.patch.object(owner, attribute, replacement))
         yield
--- a/zinctrail/model/invariants.py
+++ b/zinctrail/model/invariants.py
@@ -155,11 +155,22 @@
     return f'{found[0]} is accepted with two contents' if found else ''
 
 
+def lacks(view, term, generation):
+    """Whether a leader can't hold a generation that was committed."""
+    if view.accepted[0] == view.term > term:
+        # It began its own line of generations from where it stood, and must have stood there.
+        return view.accepted[1] <= generation
+    return view.term >= term and view.accepted < (term, generation)
+
+
 def leader_completeness(state, history):
-    """Whoever leads holds all that was acknowledged in its term and before."""
+    """Whoever leads holds all that was committed or acknowledged in its term and before."""
     for node in state.nodes:
         if node.view.mode != 'leader':
             continue
+        for generation, term, _ in history.committed:
+            if lacks(node.view, term, generation):
+                return f'{node.view.node} leads term {node.view.term} without {(term, generation)}, which was committed'
         for name, term in history.acknowledged:
             if node.view.term >= term and name not in node.view.holds:
                 return f'{node.view.node} leads term {node.view.term} without {name}, acknowledged in term {term}'
@@ -167,7 +178,11 @@
 
 
 def durability(state, history, voters):
-    """What was acknowledged is held by a majority of the voters; `voters` is 0 where some lose their disks."""
+    """What was committed or acknowledged is held by a majority of the voters; `voters` is 0 where some lose disks."""
+    for generation, term, _ in history.committed if voters else ():
+        holders = sum(node.view.accepted >= (term, generation) for node in state.nodes)
+        if 2 * holders <= voters:
+            return f'{(term, generation)} was committed and is held by {holders} of {voters} voters'
     for name, _ in history.acknowledged if voters else ():
         holders = sum(name in node.view.holds for node in state.nodes)
         if 2 * holders <= voters:
