--- a/zinctrail/agree/persistence.py
+++ b/zinctrail/agree/persistence.py
@@ -1,6 +1,5 @@
 """A voter's durable writes: its identity, term and vote, and the states that it accepted."""
 
-import zinctrail.agree.checkpoints as checkpoints
 import zinctrail.agree.journal as journal
 import zinctrail.seam as seam
 
--- a/zinctrail/agree/voter.py
+++ b/zinctrail/agree/voter.py
@@ -9,8 +9,8 @@
 import zinctrail.agree.asks as asks
 import zinctrail.agree.bootstrap as bootstrap
 import zinctrail.agree.catching_up as catching_up
-import zinctrail.agree.contact as contact
 import zinctrail.agree.checkpoints as checkpoints
+import zinctrail.agree.contact as contact
 import zinctrail.agree.elections as elections
 import zinctrail.agree.history as history
 import zinctrail.agree.journal as journal
