--- a/features/cut_off.feature
+++ b/features/cut_off.feature
@@ -11,13 +11,13 @@
       | master cut from cores       | 1,2     |
       | master cut alone            | 3       |
       | master cut with a side      | 1,2     |
-      | master cut with a follower  | 1,2     |
+      | master cut with a follower  | 1       |
       | master cut outwards         | 1,2     |
       | master cut inwards          | 1,2     |
-      | master frozen               | 1,2     |
+      | master frozen               | 1       |
       | master frozen, callers wait | 1,2     |
       | master frozen and cut       | 1       |
-      | master frozen often         | 1,2     |
+      | master frozen often         | 1       |
       | master with disk stalls     | 1,2     |
       | master with clock steps     | 1       |
       | follower cut alone          | 1       |
