--- a/zinctrail/sim/open_checks.py
+++ b/zinctrail/sim/open_checks.py
@@ -352,9 +352,9 @@
             and tr['status'] not in (408, 421, 429)
             and 'zt-stamp' not in tr['headers']
             and cast.touch.slack(tr['front'], tr['t']) == seam.ZERO
+            and v.must(key_of(tr), tr['sent_at'], T['config'])
         ):
-            if v.must(key_of(tr), tr['sent_at'], T['config']):
-                bad.append(tr)
+            bad.append(tr)
     if len(bad) > 5 + len(cast.notes.tries) / 500:
         return [f'{len(bad)} of {len(cast.notes.tries)} proper requests got {sorted({t["status"] for t in bad})}']
     return []
--- a/zinctrail/sim/open_days.py
+++ b/zinctrail/sim/open_days.py
@@ -741,7 +741,7 @@
 
 # At the end, since these modules build on what stands above; they register their faults as they are imported.
 import zinctrail.sim.control_faults  # noqa: E402
-import zinctrail.sim.server_faults  # noqa: E402, F401
+import zinctrail.sim.server_faults  # noqa: E402,F401
 
 
 def main(argv):
