--- a/features/model_guards.feature
+++ b/features/model_guards.feature
@@ -17,6 +17,8 @@
       | a generation is newer                | durability          | 7     |
       | answers count for their own term     | durability          | 3     |
       | a majority of the old voting set     | leader_completeness | 6     |
+      | what a lost master published is unknown | refused_is_not_done | 8 |
+      | a version holds one content          | one_content_a_version | 6 |
       | reads wait for a quorum              | fresh_reads         | 8     |
 
   Scenario: A refusal of an older publication reaches a node that leads a newer term
--- a/zinctrail/model/guards.py
+++ b/zinctrail/model/guards.py
@@ -9,11 +9,13 @@
 
 import zinctrail.agree.elections as elections
 import zinctrail.agree.leases as leases
+import zinctrail.agree.outcomes as outcomes
 import zinctrail.agree.partner as partner
 import zinctrail.agree.replica as replica
 import zinctrail.agree.replication as replication
 import zinctrail.agree.transactions as transactions
 import zinctrail.agree.voter as voter
+import zinctrail.ctl.items as items
 
 
 def forget_the_vote(machine, term, vote=None):
@@ -88,6 +90,13 @@
     callback(transactions.View(machine.rep, machine.rep.committed, machine.now).run(fn))
 
 
+def apply_whatever_version(txn, change):
+    """The last change to come holds, also one with an equal or a lower version."""
+    for key, version, row in items.flat(change):
+        txn.put('items', key, {'v': version, 'row': row})
+    return {'status': 200, 'took': 1, 'generation': txn.gen}
+
+
 # {guard: (the scope that shows it, [(owner, attribute, replacement)])}
 GUARDS = {
     'vote on disk': ('elections', [(voter.Voter, 'raise_term', forget_the_vote)]),
@@ -104,6 +113,8 @@
     'a master of an older term is refused': ('succession', [(partner.Partner, 'follow', follow_any_term)]),
     'a majority of the old voting set': ('voting-set', [(replica, 'quorum_both', quorum_of_new)]),
     'a majority of the new voting set': ('voting-set', [(replica, 'quorum_both', quorum_of_old)]),
+    'what a lost master published is unknown': ('new-leader', [(outcomes, 'LOST', outcomes.NO_MASTER)]),
+    'a version holds one content': ('one-number', [(items, 'apply', apply_whatever_version)]),
     'reads wait for a quorum': ('reads', [(leases.Leases, 'fence', fence_at_once)]),
 }
 
