--- a/features/steps/recover_steps.py
+++ b/features/steps/recover_steps.py
@@ -43,6 +43,9 @@
     context.put = ask(context, d, 'POST', '/v1/key/put', {'key': 'k', 'value': 'v', 'id': f'{epoch}.k'})[1]
     context.lock = ask(context, d, 'POST', '/v1/lock/take', {'name': 'l', 'holder': 'x', 'lease_ms': 60000})[1]
     context.locked = w.now
+    change = {'set': {'pools': [{'name': 'kept', 'version': 3}]}}
+    assert ask(context, d, 'PATCH', '/v1/items', change)[0] == 200
+    context.items = change['set']['pools']
     done = []
     c.op.change(
         lambda doc: doc['labels'].update({'10.9.9.9:1': {'kept': 'yes'}}), lambda s, doc: done.append(s), wait=True
@@ -98,6 +101,8 @@
     assert w.now <= context.recovered + ms(1000 * n)
     status, doc, _ = ask(context, next(d for d in w.of('dir') if d.up), 'GET', '/v1/config')
     assert status == 200 and doc['config'] == context.conf['config'], doc
+    status, doc, _ = ask(context, next(d for d in w.of('dir') if d.up), 'GET', '/v1/items')
+    assert status == 200 and doc['items']['pools'] == context.items, doc
 
 
 @behave.then('numbers, revisions, fences, generations, terms and epochs are above the old ones')
--- a/zinctrail/ctl/recovery.py
+++ b/zinctrail/ctl/recovery.py
@@ -11,7 +11,7 @@
 # Why so far: what the lost voters counted on to, nobody can say; nobody counts as far as this.
 TERMS, GENERATIONS, EPOCHS, NUMBERS = 1000, 10**6, 1000, 1 << 44
 # Tables that outlive a recovery; claims, call results, locks and events are settled by the leap of the epoch.
-KEPT = ('conf', 'cells', 'endpoints', 'keys', 'goners')
+KEPT = ('conf', 'items', 'cells', 'endpoints', 'keys', 'goners')
 
 
 def copy(m, whole=True):
