--- a/zinctrail/sim/capacity.py
+++ b/zinctrail/sim/capacity.py
@@ -505,7 +505,7 @@
         'core master',
         'state',
         state,
-        f'pieces of {si(snapshots.PIECE_BYTES)}B',
+        f'pieces of {snapshots.PIECE_BYTES >> 10} KiB',
         True,
         'rows and bytes of each dimension x its size; sent in pieces, never as one frame (sim.catchup)',
     )
@@ -559,7 +559,7 @@
         'edge proxy',
         'state',
         state,
-        f'pieces of {si(snapshots.PIECE_BYTES)}B',
+        f'pieces of {snapshots.PIECE_BYTES >> 10} KiB',
         True,
         'as the master: every row',
     )
