--- a/zinctrail/sim/server_faults.py
+++ b/zinctrail/sim/server_faults.py
@@ -4,6 +4,8 @@
 trouble and the way it comes, and returns how long until all of it is back.
 """
 
+import functools
+
 import zinctrail.seam as seam
 import zinctrail.sim.open_cast as open_cast
 import zinctrail.sim.open_days as open_days
@@ -27,34 +29,8 @@
     return SPAN + ms(1000)
 
 
-@fault
-def srv_grey_errors(day):
-    return fall_ill(day, 'errors', 0.4)
-
-
-@fault
-def srv_grey_shed(day):
-    return fall_ill(day, 'shed', 0.4)
-
-
-@fault
-def srv_grey_busy(day):
-    return fall_ill(day, 'busy', 0.4)
-
-
-@fault
-def srv_grey_hang(day):
-    return fall_ill(day, 'hang', 0.4)
-
-
-@fault
-def srv_grey_mute(day):
-    return fall_ill(day, 'mute', 0.4)
-
-
-@fault
-def srv_grey_reset(day):
-    return fall_ill(day, 'reset', 0.4)
+for _how in ('errors', 'shed', 'busy', 'hang', 'mute', 'reset'):
+    open_days.FAULTS[f'srv_grey_{_how}'] = functools.partial(fall_ill, how=_how, share=0.4)
 
 
 @fault
