--- a/zinctrail/data/told.py
+++ b/zinctrail/data/told.py
@@ -49,9 +49,20 @@
             cause = cause.partition(':')[0]
             self.causes[cause if cause in self.causes or len(self.causes) < CAUSES_MOST else 'other'] += 1
         if self.tracer.picks(rec.id) or (outcome == passes.UNKNOWN and self.tracer.room(self.now)):
-            self.log(f'Request {rec.id:.200} ended: {cause or outcome}.', 'request', id=rec.id[:200], outcome=outcome,
-                     status=status, service=rec.pool or rec.service, inc=rec.inc, tried=sorted(rec.tried), tries=rec.sends,
-                     here_ms=seam.to_ms(here), there_ms=seam.to_ms(there), cause=cause)
+            self.log(
+                f'Request {rec.id:.200} ended: {cause or outcome}.',
+                'request',
+                id=rec.id[:200],
+                outcome=outcome,
+                status=status,
+                service=rec.pool or rec.service,
+                inc=rec.inc,
+                tried=sorted(rec.tried),
+                tries=rec.sends,
+                here_ms=seam.to_ms(here),
+                there_ms=seam.to_ms(there),
+                cause=cause,
+            )
 
     def measures(self):
         yield from super().measures()
@@ -63,11 +74,19 @@
         yield measures.counter('repeats', 'Of those, repeats.', c['repeats'])
         yield measures.counter('garbled', 'Replies that were not whole or of another request.', c['garbled'])
         yield measures.by(measures.COUNTER, 'refusals', 'Answers of our own, by their cause.', 'cause', self.causes)
-        for name, text, times in (('here_seconds', 'Time that requests spent in this proxy.', self.times_here),
-                                  ('there_seconds', 'Time that requests spent at endpoints.', self.times_there)):
+        for name, text, times in (
+            ('here_seconds', 'Time that requests spent in this proxy.', self.times_here),
+            ('there_seconds', 'Time that requests spent at endpoints.', self.times_there),
+        ):
             yield measures.TIMES, name, text, [({}, (times.rows, [b / 1000 for b in BUCKETS], times.total / 1000))]
-        yield measures.gauge('waiting', 'Requests that wait for room at an endpoint.',
-                             len(self.waiting) + sum(len(p.queue) for p in self.pools.values()))
-        yield measures.gauge('resting', 'Endpoints left alone for a while.',
-                             sum(e.rest_until > self.now for e in self.ends.values())
-                             + sum(at > self.now for at in self.broken.values()))
+        yield measures.gauge(
+            'waiting',
+            'Requests that wait for room at an endpoint.',
+            len(self.waiting) + sum(len(p.queue) for p in self.pools.values()),
+        )
+        yield measures.gauge(
+            'resting',
+            'Endpoints left alone for a while.',
+            sum(e.rest_until > self.now for e in self.ends.values())
+            + sum(at > self.now for at in self.broken.values()),
+        )
--- a/zinctrail/day.py
+++ b/zinctrail/day.py
@@ -21,8 +21,17 @@
 VERBS = {'evacuate': 1, 'return': 1, 'label': 2, 'move': 2}
 CALLS = ('number.next', 'key.put', 'key.get', 'lock.take', 'lock.free')
 # Faults that a real fleet can bring about by signals to its own processes; the simulator knows more.
-REAL_FAULTS = ('kill_master', 'kill_one_each', 'kill_all', 'freeze_master', 'freeze_proxy', 'graceful_proxy',
-               'graceful_keeper', 'end_crashes', 'end_drains')
+REAL_FAULTS = (
+    'kill_master',
+    'kill_one_each',
+    'kill_all',
+    'freeze_master',
+    'freeze_proxy',
+    'graceful_proxy',
+    'graceful_keeper',
+    'end_crashes',
+    'end_drains',
+)
 
 
 class DayFault(faults.Fault):
@@ -104,7 +113,7 @@
         raise ValueError('must be an object')
     if ev.get('do') not in EVENTS:
         raise ValueError(f'do must be one of {", ".join(EVENTS)}')
-    number(ev, 'at_ms', 0, 10 ** 9)
+    number(ev, 'at_ms', 0, 10**9)
     if ev['at_ms'] < last:
         raise ValueError(f'at_ms {ev["at_ms"]} is before the line above ({last})')
     fn, known = EVENTS[ev['do']]
@@ -176,21 +185,24 @@
         if op.startswith('key'):
             args = {'key': f'k{rng.randrange(20)}'}
             if op == 'key.put':
-                args['value'] = str(rng.randrange(10 ** 6))
+                args['value'] = str(rng.randrange(10**6))
         elif op.startswith('lock'):
             args = {'name': f'l{rng.randrange(5)}', 'holder': f'h{rng.randrange(10)}'}
         else:
             args = {'name': 'orders'}
         return {'do': 'call', 'op': op, 'args': args}
+
     steady(shape['rate'] * scale, request)
     steady(shape['calls'] * scale, call)
-    marks = [(0.10, 'operator', {'verb': 'evacuate', 'args': [cells[-1]]}),
-             (0.20, 'operator', {'verb': 'return', 'args': [cells[-1]]}),
-             (0.25, 'fault', {'name': 'kill_master', 'last_ms': 5000}),
-             (0.35, 'beat', {'end': 0, 'state': 'draining'}),
-             (0.45, 'beat', {'end': 0, 'state': 'ready'}),
-             # Why so long before the end: whether service comes back must be seen.
-             (max(0.5, 1 - 20 / seconds), 'fault', {'name': closing, 'last_ms': 3000})]
+    marks = [
+        (0.10, 'operator', {'verb': 'evacuate', 'args': [cells[-1]]}),
+        (0.20, 'operator', {'verb': 'return', 'args': [cells[-1]]}),
+        (0.25, 'fault', {'name': 'kill_master', 'last_ms': 5000}),
+        (0.35, 'beat', {'end': 0, 'state': 'draining'}),
+        (0.45, 'beat', {'end': 0, 'state': 'ready'}),
+        # Why so long before the end: whether service comes back must be seen.
+        (max(0.5, 1 - 20 / seconds), 'fault', {'name': closing, 'last_ms': 3000}),
+    ]
     events += [{'at_ms': round(end * part, 1), 'do': do, **more} for part, do, more in marks]
     events.sort(key=lambda ev: ev['at_ms'])
     return {'day': 1, 'shape': shape_name, 'seed': seed, 'seconds': seconds}, events
--- a/zinctrail/dir/daemon.py
+++ b/zinctrail/dir/daemon.py
@@ -74,8 +74,15 @@
             return
         grants = ledger.want(self.now, env['f'], env, self.routes)
         if grants is not None:
-            self.tell(env['a'], 'credit', pool=env['pool'], fence=ledger.fence, grants=grants, no=env['no'],
-                      seq=ledger.holders[env['f']].no)
+            self.tell(
+                env['a'],
+                'credit',
+                pool=env['pool'],
+                fence=ledger.fence,
+                grants=grants,
+                no=env['no'],
+                seq=ledger.holders[env['f']].no,
+            )
 
     # -- leaving ----------------------------------------------------------
 
@@ -98,7 +105,15 @@
 
     def status(self):
         s = super().status()
-        s.update(ledgers={p: {'fence': l.fence, 'holders': len(l.holders), 'ready': l.is_ready(self.now),
-                              'held': sum(sum(h.held.values()) for h in l.holders.values())}
-                          for p, l in self.ledgers.items()})
+        s.update(
+            ledgers={
+                p: {
+                    'fence': l.fence,
+                    'holders': len(l.holders),
+                    'ready': l.is_ready(self.now),
+                    'held': sum(sum(h.held.values()) for h in l.holders.values()),
+                }
+                for p, l in self.ledgers.items()
+            }
+        )
         return s
--- a/zinctrail/dir/keeper.py
+++ b/zinctrail/dir/keeper.py
@@ -28,7 +28,6 @@
 
 
 class Ledger:
-
     def __init__(self, pool, fence, bounds):
         self.pool = pool
         self.fence = fence
@@ -121,8 +120,9 @@
                 if not open_:
                     break
                 # Why the emptiest for its size: so that work spreads over the pool.
-                i = min(open_, key=lambda i: ((grants.get(i, 0) + self.cap(i, routes) - free[i]
-                                               ) / self.cap(i, routes), i))
+                i = min(
+                    open_, key=lambda i: ((grants.get(i, 0) + self.cap(i, routes) - free[i]) / self.cap(i, routes), i)
+                )
                 grants[i] = grants.get(i, 0) + 1
                 have += 1
             h.short = h.short or (have < n and not h.idle)
--- a/zinctrail/edge/dialect.py
+++ b/zinctrail/edge/dialect.py
@@ -6,11 +6,8 @@
 
 import zope.interface
 
-import zinctrail.seam as seam
-
 
 class IDialect(zope.interface.Interface):
-
     def request_in(call):
         """A request of open traffic as it came -> seam.Call with our header names."""
 
@@ -35,7 +32,6 @@
 
 @zope.interface.implementer(IDialect)
 class Plain:
-
     def request_in(self, call):
         return call
 
--- a/zinctrail/edge/disk.py
+++ b/zinctrail/edge/disk.py
@@ -13,7 +13,6 @@
 
 
 class Disk:
-
     def __init__(self, folder):
         self.folder = folder
         # Files that a synced checkpoint made needless, by age.
@@ -64,7 +63,7 @@
                 data = text.encode()
                 size = len(data)
                 while data:
-                    data = data[os.write(fd, data):]
+                    data = data[os.write(fd, data) :]
                 os.ftruncate(fd, size)
                 os.fsync(fd)
             finally:
--- a/zinctrail/edge/front.py
+++ b/zinctrail/edge/front.py
@@ -167,8 +167,10 @@
             return
         self.deaf, self.persistent = True, False
         more = b'Retry-After: %s\r\n' % LATER if status == 503 else b''
-        self.transport.write(b'HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n'
-                             % (status, http.RESPONSES.get(status, b'Refused'), more))
+        self.transport.write(
+            b'HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n'
+            % (status, http.RESPONSES.get(status, b'Refused'), more)
+        )
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
         self.cut_at = self.site.now() + LINGER
@@ -264,10 +266,13 @@
         self.no += 1
         rid = request.rid = ('front', self.no)
         self.open[rid] = request
-        headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
-                   for k, v in request.requestHeaders.getAllRawHeaders()}
-        call = seam.Call(request.method.decode('latin-1'), request.uri.decode('latin-1'), headers,
-                         request.content.read())
+        headers = {
+            k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
+            for k, v in request.requestHeaders.getAllRawHeaders()
+        }
+        call = seam.Call(
+            request.method.decode('latin-1'), request.uri.decode('latin-1'), headers, request.content.read()
+        )
         self.host.feed('front', rid, self.dialect.request_in(call))
 
     def left(self, request):
--- a/zinctrail/edge/host.py
+++ b/zinctrail/edge/host.py
@@ -28,7 +28,6 @@
 
 
 class Host:
-
     def __init__(self, machine, reactor, disk=None, dialect=None, doors=(), tell=0):
         self.dialect = dialect or dialect_.Plain()
         self.doors = [web.Door(self, addr) for addr in doors]
@@ -36,8 +35,9 @@
         self.machine = machine
         self.reactor = clock.steady(reactor)
         self.disk = disk
-        self.links = wire.Links(reactor, machine.bounds.frame_most,
-                                lambda env: self.feed('recv', env), lambda addr: self.feed('lost', addr))
+        self.links = wire.Links(
+            reactor, machine.bounds.frame_most, lambda env: self.feed('recv', env), lambda addr: self.feed('lost', addr)
+        )
         self.pages = web.Pages(self)
         self.fetcher = web.Fetcher(reactor, verifies=True)
         self.relay = relay.Relay(reactor)
@@ -54,17 +54,36 @@
 
     def figures(self):
         """What only the host knows, for the status pages."""
-        return {**self.stats, 'opened': self.fetcher.by_number.opened, 'asked': self.fetcher.asked, 'relayed_over': self.relay.opened, 'frames': self.links.sent_frames,
-                'bytes': self.links.sent_bytes, 'wire_bytes': self.links.wire_bytes, 'kinds': dict(self.links.sent_kinds),
-                'sent': dict(self.links.sent_no), 'got': dict(self.links.got_no), 'got_bytes': self.links.got_bytes,
-                'rss_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
+        return {
+            **self.stats,
+            'opened': self.fetcher.by_number.opened,
+            'asked': self.fetcher.asked,
+            'relayed_over': self.relay.opened,
+            'frames': self.links.sent_frames,
+            'bytes': self.links.sent_bytes,
+            'wire_bytes': self.links.wire_bytes,
+            'kinds': dict(self.links.sent_kinds),
+            'sent': dict(self.links.sent_no),
+            'got': dict(self.links.got_no),
+            'got_bytes': self.links.got_bytes,
+            'rss_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+        }
 
     def log_figures(self):
         """One line: what this process has spent since its start."""
         used = resource.getrusage(resource.RUSAGE_SELF)
-        logging.info('%s: Figures %s.', self.machine.prefix, json.dumps({
-            'mode': self.machine.mode, 'cpu_ms': round(1000 * (used.ru_utime + used.ru_stime)),
-            'counts': dict(getattr(self.machine, 'counts', ())), **self.figures()}))
+        logging.info(
+            '%s: Figures %s.',
+            self.machine.prefix,
+            json.dumps(
+                {
+                    'mode': self.machine.mode,
+                    'cpu_ms': round(1000 * (used.ru_utime + used.ru_stime)),
+                    'counts': dict(getattr(self.machine, 'counts', ())),
+                    **self.figures(),
+                }
+            ),
+        )
 
     def start(self):
         place = self.machine.place
@@ -112,8 +131,13 @@
                 took = self.now() - began
                 if took > STALL:
                     self.stats['stalls'] += 1
-                    logging.warning('%s: loop stalled for %d ms in %s.', self.machine.prefix, seam.to_ms(took), kind,
-                                    extra={'fields': {'event': 'stall', 'ms': seam.to_ms(took), 'input': kind}})
+                    logging.warning(
+                        '%s: loop stalled for %d ms in %s.',
+                        self.machine.prefix,
+                        seam.to_ms(took),
+                        kind,
+                        extra={'fields': {'event': 'stall', 'ms': seam.to_ms(took), 'input': kind}},
+                    )
         finally:
             self.busy = False
         self.set_alarm()
@@ -177,8 +201,10 @@
         def ours(headers):
             # Why also without one: what says nothing of whose it is is no late answer to another, but a bad one to us.
             return self.dialect.fetched_in(headers).get('zt-id') in (None, asked)
-        self.relay.fetch(e.inc, e.addr, e.method, e.path, self.dialect.fetch_out(e.headers), e.body, e.wait,
-                         e.once, ours).addCallback(told)
+
+        self.relay.fetch(
+            e.inc, e.addr, e.method, e.path, self.dialect.fetch_out(e.headers), e.body, e.wait, e.once, ours
+        ).addCallback(told)
 
     def fetch(self, e):
         if e.plain:
--- a/zinctrail/edge/main.py
+++ b/zinctrail/edge/main.py
@@ -32,17 +32,34 @@
     absl.flags.DEFINE_string('addr', '', 'IP:PORT for our own processes.', flag_values=flags)
     absl.flags.DEFINE_string('http', '', 'IP:PORT for HTTP.', flag_values=flags)
     absl.flags.DEFINE_string('cell', '', 'The cell this process stands in.', flag_values=flags)
-    absl.flags.DEFINE_list('seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.', flag_values=flags)
-    absl.flags.DEFINE_string('front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.', flag_values=flags)
-    absl.flags.DEFINE_list('doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.', flag_values=flags)
-    absl.flags.DEFINE_integer('figures_s', 0, 'Seconds between two lines of figures in the log; 0 for none.', flag_values=flags)
-    absl.flags.DEFINE_enum('log_format', 'text', logs.FORMATS, 'Lines with fields behind the sentence, or of JSON.',
-                           flag_values=flags)
-    absl.flags.DEFINE_float('trace_share', 0.0, 'The share of requests, picked by id, whose end is logged.',
-                            lower_bound=0, upper_bound=1, flag_values=flags)
+    absl.flags.DEFINE_list(
+        'seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.', flag_values=flags
+    )
+    absl.flags.DEFINE_string(
+        'front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.', flag_values=flags
+    )
+    absl.flags.DEFINE_list(
+        'doors', [], 'More IP:PORT for calls; what is spoken there may be a dialect.', flag_values=flags
+    )
+    absl.flags.DEFINE_integer(
+        'figures_s', 0, 'Seconds between two lines of figures in the log; 0 for none.', flag_values=flags
+    )
+    absl.flags.DEFINE_enum(
+        'log_format', 'text', logs.FORMATS, 'Lines with fields behind the sentence, or of JSON.', flag_values=flags
+    )
+    absl.flags.DEFINE_float(
+        'trace_share',
+        0.0,
+        'The share of requests, picked by id, whose end is logged.',
+        lower_bound=0,
+        upper_bound=1,
+        flag_values=flags,
+    )
     for f in dataclasses.fields(bounds.Bounds):
         if isinstance(f.default, datetime.timedelta):
-            absl.flags.DEFINE_integer(f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.', flag_values=flags)
+            absl.flags.DEFINE_integer(
+                f'{f.name}_ms', seam.to_ms(f.default), f'Bound {f.name}, in milliseconds.', flag_values=flags
+            )
         elif isinstance(f.default, float):
             absl.flags.DEFINE_float(f.name, f.default, f'Bound {f.name}.', flag_values=flags)
         else:
@@ -60,11 +77,18 @@
 
 
 def read_place(flags=FLAGS):
-    bad = [f'--{n}: must be IP:PORT, not {getattr(flags, n)!r}'
-           for n in ('addr', 'http') if not frames.is_addr(getattr(flags, n))]
+    bad = [
+        f'--{n}: must be IP:PORT, not {getattr(flags, n)!r}'
+        for n in ('addr', 'http')
+        if not frames.is_addr(getattr(flags, n))
+    ]
     bad += [f'--seeds: must be IP:PORT, not {s!r}' for s in flags.seeds if not frames.is_addr(s)]
-    bad += [f'--{n}: must be IP:PORT, not {s!r}' for n, many in (('doors', flags.doors), ('front', [flags.front]))
-            for s in many if s and not frames.is_addr(s)]
+    bad += [
+        f'--{n}: must be IP:PORT, not {s!r}'
+        for n, many in (('doors', flags.doors), ('front', [flags.front]))
+        for s in many
+        if s and not frames.is_addr(s)
+    ]
     if not flags.cell:
         bad.append('--cell: is missing')
     bad += [f'--{n}: {t}' for n, t in read_bounds(flags).faults()]
@@ -103,8 +127,11 @@
                 self.host.machine.tracer = tracer
                 self.host.feed('settings', place, bound)
         except Exception as e:  # Why broad: whatever is wrong with them, the process goes on with what it has.
-            absl.logging.error('%s: settings can not be used, goes on with those it has: %s',
-                               self.host.machine.prefix, '; '.join(str(e).splitlines()))
+            absl.logging.error(
+                '%s: settings can not be used, goes on with those it has: %s',
+                self.host.machine.prefix,
+                '; '.join(str(e).splitlines()),
+            )
 
 
 def parse(doc, argv=None):
@@ -113,8 +140,7 @@
     if any(a in ('--help', '-help', '-h') for a in argv[1:]):
         print(doc.strip())
         print('\nFlags (also by --flagfile=FILE):')
-        print('\n'.join(line for line in FLAGS.main_module_help().splitlines() if line.strip())
-              or FLAGS.get_help())
+        print('\n'.join(line for line in FLAGS.main_module_help().splitlines() if line.strip()) or FLAGS.get_help())
         sys.exit(0)
     if '--version' in argv[1:]:
         print(zinctrail.__version__)
--- a/zinctrail/edge/metrics.py
+++ b/zinctrail/edge/metrics.py
@@ -14,8 +14,13 @@
     yield measures.by(measures.COUNTER, 'frames', 'Frames sent to our other processes.', 'kind', links.sent_no)
     yield measures.by(measures.COUNTER, 'frames_got', 'Frames got from them.', 'kind', links.got_no)
     yield measures.by(measures.COUNTER, 'frame_bytes', 'Bytes of those frames.', 'kind', links.sent_kinds)
-    yield measures.by(measures.COUNTER, 'connections_opened', 'New connections to endpoints.', 'way',
-                      {'library': host.fetcher.by_number.opened, 'plain': host.relay.opened})
+    yield measures.by(
+        measures.COUNTER,
+        'connections_opened',
+        'New connections to endpoints.',
+        'way',
+        {'library': host.fetcher.by_number.opened, 'plain': host.relay.opened},
+    )
     yield measures.gauge('memory_bytes', 'Memory that is resident now.', resident())
     yield measures.gauge('descriptors', 'Descriptors that are open.', descriptors())
 
@@ -44,6 +49,7 @@
 
     def collect(self):
         import prometheus_client.core as core
+
         for kind, name, text, values in self.rows:
             name = f'zinctrail_{name}'
             labels = list(values[0][0]) if values else []
@@ -67,5 +73,6 @@
     """(content type, body)"""
     # Why here: most processes are never asked, and it costs 0.7 MB and 22 ms of processor (docs/operate/figures.md).
     import prometheus_client.exposition as exposition
+
     rows = [*host.machine.measures(), *of_host(host)]
     return exposition.CONTENT_TYPE_LATEST, exposition.generate_latest(Rows(rows))
--- a/zinctrail/edge/plain.py
+++ b/zinctrail/edge/plain.py
@@ -12,8 +12,7 @@
     host, _, port = addr.rpartition(':')
     conn = http.client.HTTPConnection(host, int(port), timeout=wait)
     try:
-        conn.request(method, path, json.dumps(body) if body is not None else None,
-                     {'content-type': 'application/json'})
+        conn.request(method, path, json.dumps(body) if body is not None else None, {'content-type': 'application/json'})
         res = conn.getresponse()
         return res.status, json.loads(res.read())
     finally:
--- a/zinctrail/edge/relay.py
+++ b/zinctrail/edge/relay.py
@@ -56,7 +56,6 @@
 
 
 class Conn(newclient.HTTP11ClientProtocol):
-
     inc = ''
     relay = None
     idle_at = 0.0
@@ -104,6 +103,7 @@
         closes = any(b'close' in v.lower() for v in headers.getRawHeaders(b'connection', ()))
         self.keep = 0.0 if closes else told(headers.getRawHeaders(b'keep-alive', ()))
         super()._finishResponse_WAITING(rest)
+
     _finishResponse_TRANSMITTING = _finishResponse_WAITING
 
     def read_on(self, rest):
@@ -174,7 +174,6 @@
 
 
 class Relay:
-
     def __init__(self, reactor):
         self.reactor = reactor
         self.idle = {}
@@ -264,7 +263,8 @@
         # Why before it is made: it may end, or bring bytes, before anybody here hears of it.
         conn.inc, conn.relay = inc, self
         made = protocol.ClientCreator(self.reactor, lambda: conn).connectTCP(
-            host, port, timeout=min(CONNECT, max(0.01, wait.total_seconds())))
+            host, port, timeout=min(CONNECT, max(0.01, wait.total_seconds()))
+        )
 
         def connected(conn):
             left = wait - seam.ms(1000 * (self.reactor.seconds() - began))
@@ -272,6 +272,7 @@
 
         def refused(reason):
             return seam.Fetched(sent=False, fault=reason.type.__name__)
+
         return made.addCallbacks(connected, refused)
 
     def send(self, conn, method, path, headers, body, wait, ours):
@@ -280,8 +281,11 @@
         conn.ours = lambda response: ours(lowered(response.headers))
         conn.skips = 0
         try:
-            d = conn.request(newclient.Request(method.encode(), path.encode('latin-1'), raw, Whole(body) if body else None,
-                                               persistent=True))
+            d = conn.request(
+                newclient.Request(
+                    method.encode(), path.encode('latin-1'), raw, Whole(body) if body else None, persistent=True
+                )
+            )
         except Exception as e:  # Why broad: whatever twisted refuses to send was not sent.
             conn.transport.abortConnection()
             return defer.succeed(seam.Fetched(sent=False, fault=f'{type(e).__name__}: {e}'))
@@ -297,12 +301,16 @@
             else:
                 self.give_back(conn)
             return res
+
         return d.addCallback(done)
 
     def read(self, response, conn):
         framing = conn._parser.connHeaders if conn._parser is not None else http_headers.Headers()
-        bad = response.version[0] != b'HTTP' or not 200 <= response.code < 600 or (
-            framing.hasHeader(b'transfer-encoding') and framing.hasHeader(b'content-length'))
+        bad = (
+            response.version[0] != b'HTTP'
+            or not 200 <= response.code < 600
+            or (framing.hasHeader(b'transfer-encoding') and framing.hasHeader(b'content-length'))
+        )
         whole = defer.Deferred()
         response.deliverBody(Body(whole))
 
@@ -313,8 +321,14 @@
                 return d.addCallback(self.read, conn)
             if fault or bad:
                 conn.odd()
-            return seam.Fetched(response.code, lowered(response.headers), body, True,
-                                fault or ('no answer in the protocol' if bad else ''))
+            return seam.Fetched(
+                response.code,
+                lowered(response.headers),
+                body,
+                True,
+                fault or ('no answer in the protocol' if bad else ''),
+            )
+
         return whole.addCallback(got)
 
     def fault(self, reason, conn):
--- a/zinctrail/edge/web.py
+++ b/zinctrail/edge/web.py
@@ -28,6 +28,7 @@
 LIVE = '/zt/live'
 METRICS = b'/v1/metrics'
 
+
 class Request(early.Early, server.Request):
     """Counts a body while it comes in, so that it is bounded before it is buffered."""
 
@@ -102,10 +103,13 @@
 
 
 def call_of(request):
-    headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
-               for k, v in request.requestHeaders.getAllRawHeaders()}
+    headers = {
+        k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
+        for k, v in request.requestHeaders.getAllRawHeaders()
+    }
     return seam.Call(request.method.decode('latin-1'), request.uri.decode('latin-1'), headers, request.content.read())
 
+
 def write(request, status, headers, body):
     request.setResponseCode(status)
     for k, v in headers.items():
@@ -115,6 +119,7 @@
         request.write(body)
     request.finish()
 
+
 def site(pages, body_most, reactor):
     s = server.Site(pages, reactor=reactor, timeout=IDLE)
     s.noisy = False
@@ -123,6 +128,7 @@
     s.requestFactory = type('Bounded', (Request,), {'most': body_most})
     return s
 
+
 class Body(protocol.Protocol):
     """Reads a reply to its end, or says why it isn't whole."""
 
@@ -147,6 +153,7 @@
             # Why PotentialDataLoss too: a reply without an end can't be told from a cut one.
             self.done.callback((b''.join(self.parts), 'reply cut short'))
 
+
 @zope.interface.implementer(iweb.IAgentEndpointFactory)
 class ByNumber:
     """Connects to IP numbers as they are.
@@ -201,9 +208,15 @@
                 return conn
             self.fetcher.asked += 1
             try:
-                response = yield conn.request(client.Request(
-                    b'GET', LIVE.encode(), http_headers.Headers({b'host': [b'%s:%d' % key[1:]], b'zt-inc': [self.inc]}),
-                    None, persistent=True))
+                response = yield conn.request(
+                    client.Request(
+                        b'GET',
+                        LIVE.encode(),
+                        http_headers.Headers({b'host': [b'%s:%d' % key[1:]], b'zt-inc': [self.inc]}),
+                        None,
+                        persistent=True,
+                    )
+                )
                 yield client.readBody(response)
             except Exception as e:  # Why broad: whatever went wrong, the request itself has not been sent.
                 conn.abort()
@@ -261,19 +274,20 @@
             if late.active():
                 late.cancel()
             return res
+
         return d.addBoth(done)
 
     def _read(self, response):
         whole = defer.Deferred(lambda d: body.transport and body.transport.abortConnection())
         body = Body(whole)
-        headers = {k.decode('latin-1').lower(): b','.join(v).decode('latin-1')
-                   for k, v in response.headers.getAllRawHeaders()}
+        headers = {
+            k.decode('latin-1').lower(): b','.join(v).decode('latin-1') for k, v in response.headers.getAllRawHeaders()
+        }
         response.deliverBody(body)
         return whole.addCallback(lambda got: seam.Fetched(response.code, headers, got[0], True, got[1]))
 
     def _fault(self, reason: failure.Failure):
         # Why only these: they are raised before a connection exists, so no byte can have gone out.
         # A stranger was only asked who he is.
-        unsent = reason.check(neterror.ConnectError, neterror.ConnectionRefusedError, neterror.DNSLookupError,
-                              Stranger)
+        unsent = reason.check(neterror.ConnectError, neterror.ConnectionRefusedError, neterror.DNSLookupError, Stranger)
         return seam.Fetched(sent=not unsent, fault=reason.type.__name__)
--- a/zinctrail/edge/wire.py
+++ b/zinctrail/edge/wire.py
@@ -139,7 +139,6 @@
 
 
 class OutFrames(basic.NetstringReceiver):
-
     def __init__(self, factory):
         self.factory = factory
         self.stream = None
@@ -159,7 +158,7 @@
             if self.stream is None:
                 self.stream = zlib.compressobj(1, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL)
             # Why one stream a connection: most of a frame was in the frame before it.
-            data = STREAMED + (self.stream.compress(data) + self.stream.flush(zlib.Z_SYNC_FLUSH))[:-len(FLUSHED)]
+            data = STREAMED + (self.stream.compress(data) + self.stream.flush(zlib.Z_SYNC_FLUSH))[: -len(FLUSHED)]
         links.wire_bytes += len(data)
         self.sendString(data)
 
@@ -168,7 +167,6 @@
 
 
 class Links:
-
     def __init__(self, reactor, frame_most, on_frame, on_lost):
         self.reactor = reactor
         self.frame_most = frame_most
@@ -215,8 +213,12 @@
         data = self.encoded(msg, packs)
         if len(data) > self.frame_most:
             # Why loud: a frame that can't be carried must not vanish.
-            logging.error('wire: frame %s of %d bytes is above the bound of %d, not sent.',
-                          msg.get('t'), len(data), self.frame_most)
+            logging.error(
+                'wire: frame %s of %d bytes is above the bound of %d, not sent.',
+                msg.get('t'),
+                len(data),
+                self.frame_most,
+            )
             return
         self.sent_frames += 1
         self.sent_bytes += len(data)
--- a/zinctrail/fleet.py
+++ b/zinctrail/fleet.py
@@ -25,16 +25,52 @@
 
 # The deployments of BRIEF-zinctrail.md: regions, cells a region, machines, services, rates a second.
 PRESETS = {
-    'small': {'regions': 3, 'cells': 1, 'cores': 3, 'proxies': 3, 'dirs': 3, 'rate': 20, 'calls': 2,
-              'services': {'catalog': 3, 'loans': 3}, 'once': ['loans']},
+    'small': {
+        'regions': 3,
+        'cells': 1,
+        'cores': 3,
+        'proxies': 3,
+        'dirs': 3,
+        'rate': 20,
+        'calls': 2,
+        'services': {'catalog': 3, 'loans': 3},
+        'once': ['loans'],
+    },
     # Checked at the slower pace of many members, though it has few.
-    'many': {'regions': 3, 'cells': 1, 'cores': 3, 'proxies': 6, 'dirs': 3, 'rate': 20, 'calls': 2, 'herd': 3,
-             'services': {'catalog': 3, 'loans': 3}, 'once': ['loans']},
-    'accra': {'regions': 3, 'cells': 2, 'cores': 6, 'proxies': 9, 'dirs': 6, 'rate': 390, 'calls': 50,
-              'services': {'catalog': 12, 'loans': 12, 'sync': 12, 'holds': 12}, 'once': ['loans', 'holds']},
-    'ukks': {'regions': 3, 'cells': 2, 'cores': 6, 'proxies': 12, 'dirs': 6, 'rate': 345, 'calls': 40,
-             'services': {'defects': 14, 'lots': 14, 'photos': 14, 'certificates': 13},
-             'once': ['lots', 'certificates']},
+    'many': {
+        'regions': 3,
+        'cells': 1,
+        'cores': 3,
+        'proxies': 6,
+        'dirs': 3,
+        'rate': 20,
+        'calls': 2,
+        'herd': 3,
+        'services': {'catalog': 3, 'loans': 3},
+        'once': ['loans'],
+    },
+    'accra': {
+        'regions': 3,
+        'cells': 2,
+        'cores': 6,
+        'proxies': 9,
+        'dirs': 6,
+        'rate': 390,
+        'calls': 50,
+        'services': {'catalog': 12, 'loans': 12, 'sync': 12, 'holds': 12},
+        'once': ['loans', 'holds'],
+    },
+    'ukks': {
+        'regions': 3,
+        'cells': 2,
+        'cores': 6,
+        'proxies': 12,
+        'dirs': 6,
+        'rate': 345,
+        'calls': 40,
+        'services': {'defects': 14, 'lots': 14, 'photos': 14, 'certificates': 13},
+        'once': ['lots', 'certificates'],
+    },
 }
 
 
@@ -46,8 +82,16 @@
     """The configuration of a shape: a pool and a rule a service."""
     return {
         'pools': {s: {'service': s} for s in shape['services']},
-        'rules': {s: {'match': {'service': s}, 'pool': s, 'deadline_ms': 5000, 'run_once': s in shape['once'],
-                      'repeat': {'attempts': 2}} for s in shape['services']},
+        'rules': {
+            s: {
+                'match': {'service': s},
+                'pool': s,
+                'deadline_ms': 5000,
+                'run_once': s in shape['once'],
+                'repeat': {'attempts': 2},
+            }
+            for s in shape['services']
+        },
         'cells': {c: {'region': c.split('/')[0]} for c in cells_of(shape)},
         'labels': {},
     }
@@ -85,8 +129,12 @@
 
     def start(self):
         folder = self.fleet.folder
-        lines = [f'--addr={self.addr}', f'--http={self.http}', f'--cell={self.cell}',
-                 f'--seeds={",".join(self.seeds)}'] + self.fleet.extra
+        lines = [
+            f'--addr={self.addr}',
+            f'--http={self.http}',
+            f'--cell={self.cell}',
+            f'--seeds={",".join(self.seeds)}',
+        ] + self.fleet.extra
         if self.role == 'core':
             lines.append(f'--data={os.path.join(folder, self.name)}')
         flagfile = os.path.join(folder, f'{self.name}.flags')
@@ -98,8 +146,9 @@
             if self.fleet.ill:
                 self.make_ill()
                 run = ['zinctrail.fleet_node', self.ills, f'zt{self.role}']
-            self.pop = subprocess.Popen([sys.executable, '-m', *run, f'--flagfile={flagfile}'], stdout=log, stderr=log,
-                                        stdin=subprocess.DEVNULL)
+            self.pop = subprocess.Popen(
+                [sys.executable, '-m', *run, f'--flagfile={flagfile}'], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
 
     def make_ill(self, cut=(), wall_s=0.0):
         """Frames to and from these partners are lost from now on; the wall clock is off by so much."""
@@ -119,7 +168,6 @@
 
 
 class Fleet:
-
     def __init__(self, shape, folder, reactor, extra=(), ill=False):
         self.shape, self.folder, self.reactor, self.extra = shape, folder, reactor, list(extra)
         # Whether its processes run under zinctrail.fleet_node.
@@ -193,7 +241,9 @@
         self.until(self.master, 'a master')
         status, doc = self.call('GET', '/v1/config')
         if doc['generation'] == 0:
-            status, doc = self.call('PUT', '/v1/config', {'config': document(self.shape), 'base': 0, 'wait': True}, wait=20)
+            status, doc = self.call(
+                'PUT', '/v1/config', {'config': document(self.shape), 'base': 0, 'wait': True}, wait=20
+            )
             if status != 200:
                 raise RuntimeError(f'configuration was refused: {doc}')
 
@@ -237,10 +287,15 @@
     def where(self):
         return {
             'folder': self.folder,
-            'processes': {n: {'role': p.role, 'cell': p.cell, 'addr': p.addr, 'http': p.http, 'pid': p.pop.pid}
-                          for n, p in self.procs.items() if p.pop},
-            'endpoints': {a: {'service': e.serving.service, 'cell': e.serving.cell, 'inc': e.serving.inc}
-                          for a, e in self.endpoints.items()},
+            'processes': {
+                n: {'role': p.role, 'cell': p.cell, 'addr': p.addr, 'http': p.http, 'pid': p.pop.pid}
+                for n, p in self.procs.items()
+                if p.pop
+            },
+            'endpoints': {
+                a: {'service': e.serving.service, 'cell': e.serving.cell, 'inc': e.serving.inc}
+                for a, e in self.endpoints.items()
+            },
         }
 
     # -- stand-ins, on the reactor ----------------------------------------
@@ -263,6 +318,7 @@
                 self.ran_once[headers['zt-id']] += 1
             reply = json.dumps({'id': headers['zt-id'], 'service': service, 'endpoint': addr, 'path': path}).encode()
             return task.deferLater(self.reactor, rng.uniform(*work), lambda: (200, reply))
+
         ep = endpoint.Endpoint(self.reactor, addr, service, cell, 8, handler, dirs)
         self.endpoints[addr] = ep
         ep.start()
@@ -272,7 +328,7 @@
         cells = cells_of(self.shape)
         for i, cell in enumerate(cells):
             dirs = [p.http for p in self.of('dir')]
-            dirs = dirs[i % len(dirs):] + dirs[:i % len(dirs)]
+            dirs = dirs[i % len(dirs) :] + dirs[: i % len(dirs)]
             self.requesters.append(requester.Requester(self.reactor, dirs, cell))
         loop = task.LoopingCall.withCount(lambda n: [self.one(rng) for _ in range(min(n, 50))])
         loop.clock = self.reactor
@@ -287,14 +343,18 @@
 
         def done(reply):
             out = reply.outcome
-            if out == 'ran' and (reply.status != 200 or json.loads(reply.body)['id'] != reply.id
-                                 or json.loads(reply.body)['service'] != service):
+            if out == 'ran' and (
+                reply.status != 200
+                or json.loads(reply.body)['id'] != reply.id
+                or json.loads(reply.body)['service'] != service
+            ):
                 out = 'wrong'
             if out == 'not-run' and self.ran[reply.id]:
                 out = 'false-not-run'
             self.counts[out] += 1
             self.waits[int(1000 * (time.monotonic() - began)) // 10 * 10] += 1
             return reply
+
         return d.addCallback(done)
 
     def figures(self):
@@ -339,4 +399,3 @@
             if sofar * 100 >= total * p:
                 out.setdefault(f'p{p}', ms_)
     return out
-
--- a/zinctrail/fleet_node.py
+++ b/zinctrail/fleet_node.py
@@ -28,6 +28,7 @@
         except (OSError, ValueError):
             # Why let go: it is being written; the next look sees it whole.
             pass
+
     loop = task.LoopingCall(look)
     loop.clock = reactor
     loop.start(0.05)
@@ -37,6 +38,7 @@
     import twisted.internet.reactor as reactor
     import zinctrail.edge.clock as clock
     import zinctrail.edge.wire as wire
+
     send, listen = wire.Links.send, wire.Links.listen
 
     def cut_send(self, addr, msg, packs=False):
@@ -47,6 +49,7 @@
         heard = self.on_frame
         self.on_frame = lambda env: None if env.get('a') in ILLS['cut'] else heard(env)
         return listen(self, addr)
+
     wire.Links.send, wire.Links.listen = cut_send, cut_listen
     name, program = argv[1:3]
     sys.argv = [program] + argv[3:]
--- a/zinctrail/follow.py
+++ b/zinctrail/follow.py
@@ -35,10 +35,12 @@
             out.append(f'{clock(r)}  {who}  claim for {r.get("proxy", "?")}: {r.get("outcome", "?")}')
         elif r.get('event') == 'request':
             tried = ', '.join(t for t in r.get('tried', '').split(',') if t and t != r.get('inc'))
-            out.append(f'{clock(r)}  {who}  {r["outcome"]} {r["status"]}: {r.get("cause") or "reply of the endpoint"};'
-                       f' service {r.get("service") or "-"}, endpoint {r.get("inc") or "none"}'
-                       + (f', before it {tried}' if tried else '') +
-                       f', tries {r["tries"]}, {r["here_ms"]} ms here, {r["there_ms"]} ms there')
+            out.append(
+                f'{clock(r)}  {who}  {r["outcome"]} {r["status"]}: {r.get("cause") or "reply of the endpoint"};'
+                f' service {r.get("service") or "-"}, endpoint {r.get("inc") or "none"}'
+                + (f', before it {tried}' if tried else '')
+                + f', tries {r["tries"]}, {r["here_ms"]} ms here, {r["there_ms"]} ms there'
+            )
         else:
             out.append(f'{clock(r)}  {who}  {r["text"]}')
     return out
@@ -81,9 +83,13 @@
                 continue
             out.append(f'  {clock(r)}  {who}  {text}')
         if follows:
-            out.append(f'  followed by {len({r.get("by") for r in follows})}, the first at {clock(follows[0])},'
-                       f' the last at {clock(follows[-1])}')
+            out.append(
+                f'  followed by {len({r.get("by") for r in follows})}, the first at {clock(follows[0])},'
+                f' the last at {clock(follows[-1])}'
+            )
         for why, lost in sorted(losses.items()):
-            out.append(f'  lost by {len({r.get("by") for r in lost})}: {why}, the first at {clock(lost[0])},'
-                       f' the last at {clock(lost[-1])}')
+            out.append(
+                f'  lost by {len({r.get("by") for r in lost})}: {why}, the first at {clock(lost[0])},'
+                f' the last at {clock(lost[-1])}'
+            )
     return out
--- a/zinctrail/logs.py
+++ b/zinctrail/logs.py
@@ -35,7 +35,7 @@
 
 def json_of(at, level, text, fields):
     """`at`: seconds since 1970, by the wall clock."""
-    stamp = datetime.datetime.fromtimestamp(at, datetime.timezone.utc).isoformat(timespec='milliseconds')
+    stamp = datetime.datetime.fromtimestamp(at, datetime.UTC).isoformat(timespec='milliseconds')
     fields = {k: sorted(v) if isinstance(v, (set, frozenset)) else v for k, v in fields.items()}
     return json.dumps({'at': stamp.replace('+00:00', 'Z'), 'level': level, 'text': text, **fields}, default=str)
 
@@ -50,8 +50,14 @@
             return None
         if not isinstance(doc, dict) or not isinstance(doc.get('text'), str):
             return None
-        return {k: ','.join(map(str, v)) if isinstance(v, list) else
-                ('yes' if v else 'no') if isinstance(v, bool) else str(v) for k, v in doc.items()}
+        return {
+            k: ','.join(map(str, v))
+            if isinstance(v, list)
+            else ('yes' if v else 'no')
+            if isinstance(v, bool)
+            else str(v)
+            for k, v in doc.items()
+        }
     found = STAMP.search(line.rstrip('\n'))
     if not found:
         return None
@@ -91,5 +97,3 @@
 def quiet():
     """Keep what the libraries tell of their daily work out of the log; what breaks in them stays."""
     logging.getLogger('twisted').setLevel(logging.WARNING)
-
-
--- a/zinctrail/prog/ztcore.py
+++ b/zinctrail/prog/ztcore.py
@@ -1,6 +1,6 @@
 """ztcore: a control node. Votes, leads when elected, keeps the state under --data.
 
-  ztcore --addr=IP:PORT --http=IP:PORT --cell=CELL --seeds=A,B,C --data=FOLDER
+ztcore --addr=IP:PORT --http=IP:PORT --cell=CELL --seeds=A,B,C --data=FOLDER
 """
 
 import absl.flags
--- a/zinctrail/prog/ztctl.py
+++ b/zinctrail/prog/ztctl.py
@@ -97,7 +97,7 @@
 
 def read_file(name):
     try:
-        with (sys.stdin if name == '-' else open(name, encoding='utf-8')) as f:
+        with sys.stdin if name == '-' else open(name, encoding='utf-8') as f:
             return json.load(f)
     except (OSError, ValueError) as e:
         raise Stop(FAILED, f'{name}: {e}')
@@ -152,6 +152,7 @@
         for w in [w for w in args[1:] if w.startswith('region=')]:
             row['region'] = w.partition('=')[2]
         set_labels(row.setdefault('labels', {}), [w for w in args[1:] if not w.startswith('region=')])
+
     change(fn)
 
 
@@ -225,23 +226,47 @@
     if FLAGS.json:
         return show(s)
     voters = s['voters']['accepted']
-    print(f'cluster {s["cluster"][:8]}  master {s["http"]}  term {s["term"]}  generation {s["generation"][1]}'
-          f'  configuration {s["config"]}  epoch {s["epoch"]}')
+    print(
+        f'cluster {s["cluster"][:8]}  master {s["http"]}  term {s["term"]}  generation {s["generation"][1]}'
+        f'  configuration {s["config"]}  epoch {s["epoch"]}'
+    )
     m = s['margins']
-    print(f'unapplied for {m["unapplied_ms"]} ms at most  least lease left {m["least_lease_ms"]} ms'
-          f'  oldest claim {m["oldest_claim_epochs"]} epochs')
-    table([('member', 'role', 'cell', 'http', 'votes', 'answered', 'leased', 'behind')] + [
-        (n[:8], r['role'], r['cell'], r['http'], 'yes' if n in voters else '', f'{r["ack_ms"]} ms',
-         'yes' if r['leased'] else 'NO', str(max(0, s['routes'] - r['generation'][1])) if r['role'] != 'core' else '')
-        for n, r in sorted(s['members'].items(), key=lambda kv: (kv[1]['role'], kv[1]['http']))])
+    print(
+        f'unapplied for {m["unapplied_ms"]} ms at most  least lease left {m["least_lease_ms"]} ms'
+        f'  oldest claim {m["oldest_claim_epochs"]} epochs'
+    )
+    table(
+        [('member', 'role', 'cell', 'http', 'votes', 'answered', 'leased', 'behind')]
+        + [
+            (
+                n[:8],
+                r['role'],
+                r['cell'],
+                r['http'],
+                'yes' if n in voters else '',
+                f'{r["ack_ms"]} ms',
+                'yes' if r['leased'] else 'NO',
+                str(max(0, s['routes'] - r['generation'][1])) if r['role'] != 'core' else '',
+            )
+            for n, r in sorted(s['members'].items(), key=lambda kv: (kv[1]['role'], kv[1]['http']))
+        ]
+    )
     print()
-    table([('endpoint', 'service', 'cell', 'state', 'slots', 'cold', 'beat')] + [
-        (r['addr'], r['service'], r['cell'], r['state'], str(r['slots']), cold_of(r), f'{r["beat_ms"]} ms')
-        for _, r in sorted(s['endpoints'].items(), key=lambda kv: (kv[1]['service'], kv[1]['addr']))])
+    table(
+        [('endpoint', 'service', 'cell', 'state', 'slots', 'cold', 'beat')]
+        + [
+            (r['addr'], r['service'], r['cell'], r['state'], str(r['slots']), cold_of(r), f'{r["beat_ms"]} ms')
+            for _, r in sorted(s['endpoints'].items(), key=lambda kv: (kv[1]['service'], kv[1]['addr']))
+        ]
+    )
     print()
-    table([('cell', 'region', 'evacuated')] + [
-        (n, r.get('region', ''), 'YES' if r.get('evacuated') or r.get('emptied') else '')
-        for n, r in sorted(s['cells'].items())])
+    table(
+        [('cell', 'region', 'evacuated')]
+        + [
+            (n, r.get('region', ''), 'YES' if r.get('evacuated') or r.get('emptied') else '')
+            for n, r in sorted(s['cells'].items())
+        ]
+    )
 
 
 def cold_of(row):
@@ -254,8 +279,10 @@
     names = {n: f'{r["http"]} ({r["cell"]})' for n, r in s['members'].items()}
     rows = [('master', names.get(s['id'], s['id']), f'term {s["term"]}')]
     rows += [('voter', names.get(n, f'{n}, not there'), '') for n in s['voters']['accepted']]
-    rows += [(key, names.get(r['holder'], f'{r["holder"]}, not there'), f'fence {r["fence"]}')
-             for key, r in sorted(s['duties'].items())]
+    rows += [
+        (key, names.get(r['holder'], f'{r["holder"]}, not there'), f'fence {r["fence"]}')
+        for key, r in sorted(s['duties'].items())
+    ]
     table([('duty', 'holder', 'under')] + rows)
 
 
@@ -265,11 +292,21 @@
     for node, m in sorted(s['members'].items(), key=lambda kv: (kv[1]['role'], kv[1]['http'])):
         want = s['generation'][1] if m['role'] == 'core' else s['routes']
         status, doc = plain.ask(m['http'], 'GET', '/v1/self', wait=2)
-        row = {'node': node, 'role': m['role'], 'cell': m['cell'], 'http': m['http'], 'generation': None, 'lease_ms': None,
-               'behind': None, 'lacks': []}
+        row = {
+            'node': node,
+            'role': m['role'],
+            'cell': m['cell'],
+            'http': m['http'],
+            'generation': None,
+            'lease_ms': None,
+            'behind': None,
+            'lacks': [],
+        }
         if status == 200:
             own = doc['state']
-            row.update(generation=own['generation'][1], lease_ms=own['lease_ms'], behind=max(0, want - own['generation'][1]))
+            row.update(
+                generation=own['generation'][1], lease_ms=own['lease_ms'], behind=max(0, want - own['generation'][1])
+            )
             if row['behind'] and m['role'] != 'core':
                 newest = newest or tables(s['http'])
                 row['lacks'] = differences(newest, tables(m['http']))
@@ -300,10 +337,21 @@
     if FLAGS.json:
         return show(rows)
     print(f'newest: generation {s["generation"][1]}, of routes {s["routes"]}')
-    table([('member', 'role', 'cell', 'http', 'generation', 'lease', 'behind')] + [
-        (r['node'][:8], r['role'], r['cell'], r['http'], '-' if r['generation'] is None else str(r['generation']),
-         'silent' if r['lease_ms'] is None else f'{r["lease_ms"]} ms' if r['lease_ms'] else 'NONE',
-         '?' if r['behind'] is None else str(r['behind'])) for r in rows])
+    table(
+        [('member', 'role', 'cell', 'http', 'generation', 'lease', 'behind')]
+        + [
+            (
+                r['node'][:8],
+                r['role'],
+                r['cell'],
+                r['http'],
+                '-' if r['generation'] is None else str(r['generation']),
+                'silent' if r['lease_ms'] is None else f'{r["lease_ms"]} ms' if r['lease_ms'] else 'NONE',
+                '?' if r['behind'] is None else str(r['behind']),
+            )
+            for r in rows
+        ]
+    )
     for r in rows:
         for text in r['lacks']:
             print(f'{r["http"]}: {text}')
@@ -330,8 +378,10 @@
 
 def do_trace(args):
     need(args, 1)
-    told(follow.trace(follow.records(read_lines(args[1:])), args[0]),
-         f'no line tells of {args[0]}: it ended well and was not picked (--trace_share), or these are not its logs')
+    told(
+        follow.trace(follow.records(read_lines(args[1:])), args[0]),
+        f'no line tells of {args[0]}: it ended well and was not picked (--trace_share), or these are not its logs',
+    )
 
 
 def do_election(args):
@@ -357,8 +407,10 @@
         done = lambda s: s['generation'][1] >= gen and in_force(s, min(gen, s['routes']))
     elif args[0] == 'drained' and len(args) == 2 and frames.is_addr(args[1]):
         # Why the newest generation: the mark is somewhere at or below it.
-        done = lambda s: in_force(s, s['routes']) and not any(
-            r['addr'] == args[1] and r['state'] == 'ready' for r in s['endpoints'].values())
+        done = lambda s: (
+            in_force(s, s['routes'])
+            and not any(r['addr'] == args[1] and r['state'] == 'ready' for r in s['endpoints'].values())
+        )
     elif args[0] == 'members' and len(args) == 2 and seam.is_whole(args[1]):
         done = lambda s: sum(r['leased'] for r in s['members'].values()) >= int(args[1])
     else:
@@ -478,8 +530,11 @@
     if FLAGS.confirm is None and sys.stdin.isatty():
         FLAGS.confirm = input('The first 8 letters of the cluster, to give it up for good: ').strip()
     if not FLAGS.confirm or len(FLAGS.confirm) < 8 or not plan.clusters[0].startswith(FLAGS.confirm):
-        raise Stop(USAGE, f'--confirm: must be the first 8 letters of the cluster or more, {plan.clusters[0][:8]};'
-                          ' nothing was changed')
+        raise Stop(
+            USAGE,
+            f'--confirm: must be the first 8 letters of the cluster or more, {plan.clusters[0][:8]};'
+            ' nothing was changed',
+        )
     status, doc = plain.ask(args[0], 'POST', '/v1/recover', plan.body(), 30)
     if status != 200:
         raise Stop(FAILED, doc.get('fault', f'{args[0]} does not answer; look with ztctl recover before trying again'))
@@ -492,12 +547,29 @@
 
 
 COMMANDS = {
-    'wait': do_wait, 'status': do_status, 'get': do_get, 'check': do_check, 'apply': do_apply, 'label': do_label, 'cell': do_cell,
-    'evacuate': do_evacuate, 'return': lambda args: do_evacuate(args, False), 'ready': do_ready,
+    'wait': do_wait,
+    'status': do_status,
+    'get': do_get,
+    'check': do_check,
+    'apply': do_apply,
+    'label': do_label,
+    'cell': do_cell,
+    'evacuate': do_evacuate,
+    'return': lambda args: do_evacuate(args, False),
+    'ready': do_ready,
     'self': lambda args: show(must(call('GET', '/v1/self'))['state']),
-    'lag': do_lag, 'duties': do_duties, 'trace': do_trace, 'election': do_election,
-    'items': do_items, 'empty': do_empty, 'refill': lambda args: do_empty(args, False),
-    'recover': do_recover, 'lock': do_lock, 'number': do_number, 'key': do_key, 'watch': do_watch,
+    'lag': do_lag,
+    'duties': do_duties,
+    'trace': do_trace,
+    'election': do_election,
+    'items': do_items,
+    'empty': do_empty,
+    'refill': lambda args: do_empty(args, False),
+    'recover': do_recover,
+    'lock': do_lock,
+    'number': do_number,
+    'key': do_key,
+    'watch': do_watch,
 }
 
 # What reads files and asks nobody.
--- a/zinctrail/prog/ztdir.py
+++ b/zinctrail/prog/ztdir.py
@@ -1,6 +1,6 @@
 """ztdir: the thin daemon on each machine. Standing answers, relayed calls, credit.
 
-  ztdir --addr=IP:PORT --http=IP:PORT --cell=CELL --seeds=A,B,C
+ztdir --addr=IP:PORT --http=IP:PORT --cell=CELL --seeds=A,B,C
 """
 
 import zinctrail.dir.daemon as daemon
--- a/zinctrail/prog/ztfleet.py
+++ b/zinctrail/prog/ztfleet.py
@@ -84,6 +84,7 @@
         print(f'ztfleet: {reason.getErrorMessage()}', file=sys.stderr)
         code.append(1)
         end()
+
     for s in (signal.SIGTERM, signal.SIGINT):
         signal.signal(s, lambda *_: reactor.callFromThread(end))
     began = time.monotonic()
--- a/zinctrail/prog/ztprox.py
+++ b/zinctrail/prog/ztprox.py
@@ -1,6 +1,6 @@
 """ztprox: a proxy. Carries requests to endpoints as rules, credit and leases allow.
 
-  ztprox --addr=IP:PORT --http=IP:PORT --cell=CELL --seeds=A,B,C
+ztprox --addr=IP:PORT --http=IP:PORT --cell=CELL --seeds=A,B,C
 """
 
 import zinctrail.data.proxy as proxy
--- a/zinctrail/prog/ztreplay.py
+++ b/zinctrail/prog/ztreplay.py
@@ -44,7 +44,7 @@
 
 def load(name):
     try:
-        with (sys.stdin if name == '-' else open(name, encoding='utf-8')) as f:
+        with sys.stdin if name == '-' else open(name, encoding='utf-8') as f:
             return day.read(f, FLAGS.skip)
     except (OSError, UnicodeDecodeError) as e:
         raise faults.SettingFault(f'{name}: {e}') from e
@@ -52,6 +52,7 @@
 
 def change_for(verb, args):
     """What an operator's verb does to a configuration."""
+
     def fn(doc):
         if verb in ('evacuate', 'return'):
             doc['cells'].setdefault(args[0], {})['evacuated'] = verb == 'evacuate'
@@ -60,6 +61,7 @@
             doc['labels'].setdefault(args[0], {})[k] = v
         else:
             doc['pools'][args[0]]['selector'] = {'cell': args[1]}
+
     return fn
 
 
@@ -136,6 +138,7 @@
         else:
             what = f'refused {res.value.status}' if res.check(coord.CoordFault) else 'broke'
         counts[what] = counts.get(what, 0) + 1
+
     return d.addBoth(note)
 
 
@@ -186,6 +189,7 @@
         def ended(res):
             self.open -= 1
             return res
+
         return d.addBoth(ended)
 
     def do_request(self, ev):
@@ -195,8 +199,9 @@
             self.rng.shuffle(dirs)
             self.requesters[key] = requester.Requester(reactor, dirs, key[0], key[1])
         began = time.monotonic()
-        d = self.started(self.requesters[key].send(ev['service'], ev.get('path', '/'), body=b'{}',
-                                                   left=ms(ev.get('left_ms', 5000))))
+        d = self.started(
+            self.requesters[key].send(ev['service'], ev.get('path', '/'), body=b'{}', left=ms(ev.get('left_ms', 5000)))
+        )
 
         def note(reply):
             out = reply.outcome
@@ -207,6 +212,7 @@
                 out = 'wrong'
             self.counts[out] = self.counts.get(out, 0) + 1
             self.waits.append(ms(1000 * (time.monotonic() - began)))
+
         d.addCallback(note)
 
     def do_call(self, ev):
@@ -219,11 +225,13 @@
                 if status != 200:
                     continue
                 change_for(ev['verb'], ev['args'])(doc['config'])
-                status, _ = plain.ask(dir_, 'PUT', '/v1/config', {'config': doc['config'], 'base': doc['generation']},
-                                      wait=15)
+                status, _ = plain.ask(
+                    dir_, 'PUT', '/v1/config', {'config': doc['config'], 'base': doc['generation']}, wait=15
+                )
                 if status == 200:
                     return 'accepted'
             return 'failed'
+
         d = self.started(threads.deferToThread(act))
         d.addCallback(lambda got: self.calls.__setitem__(f'operator {got}', self.calls.get(f'operator {got}', 0) + 1))
 
@@ -249,8 +257,12 @@
 
     def report(self):
         hist = fleet.waits_of(self.waits)
-        rep = {'outcomes': self.counts, 'calls': self.calls, 'waits_ms': fleet.spread(hist),
-               'latest_ms': round(self.late)}
+        rep = {
+            'outcomes': self.counts,
+            'calls': self.calls,
+            'waits_ms': fleet.spread(hist),
+            'latest_ms': round(self.late),
+        }
         if FLAGS.raw:
             return {**rep, 'hist': hist, 'not_run': self.not_run}, []
         bad = []
@@ -281,6 +293,7 @@
     def end(res):
         got.append(res)
         stop()
+
     reactor.callWhenRunning(lambda: start().addBoth(end))
     for s in (signal.SIGTERM, signal.SIGINT):
         signal.signal(s, lambda *_: reactor.callFromThread(stop))
@@ -300,9 +313,22 @@
 
 def one_part(head, events, dirs):
     """Play some of the events from a process of its own; blocks until its raw report."""
-    got = subprocess.run([sys.executable, '-m', 'zinctrail.prog.ztreplay', 'at', '-', f'--dirs={",".join(dirs)}',
-                          '--raw', '--echo', f'--speed={FLAGS.speed}'], input='\n'.join(day.write(head, events)),
-                         stdout=subprocess.PIPE, text=True)
+    got = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'zinctrail.prog.ztreplay',
+            'at',
+            '-',
+            f'--dirs={",".join(dirs)}',
+            '--raw',
+            '--echo',
+            f'--speed={FLAGS.speed}',
+        ],
+        input='\n'.join(day.write(head, events)),
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     if got.returncode:
         raise faults.SettingFault(f'a part ended with code {got.returncode}')
     return json.loads(got.stdout)
@@ -319,8 +345,11 @@
         yield threads.deferToThread(f.configure)
         f.start_endpoints(random.Random(FLAGS.seed))
         want = sum(f.shape['services'].values())
-        yield threads.deferToThread(f.until, lambda: len(f.call('GET', '/v1/status')[1].get('state', {}).get(
-            'endpoints', ())) >= want, 'all endpoints')
+        yield threads.deferToThread(
+            f.until,
+            lambda: len(f.call('GET', '/v1/status')[1].get('state', {}).get('endpoints', ())) >= want,
+            'all endpoints',
+        )
         dirs = [p.http for p in f.of('dir')]
         real = Real(head, dirs, f)
         real.echo = True
@@ -329,7 +358,7 @@
             # Why apart: one process can't play hundreds of requests a second and the endpoints too.
             yield threads.deferToThread(f.until, lambda: f.call('GET', '/v1/epoch', role='dir')[0] == 200, 'an epoch')
             own = real.run([ev for ev in events if ev['do'] not in ('request', 'call')], FLAGS.speed)
-            parts = [threads.deferToThread(one_part, head, load[i::FLAGS.parts], dirs) for i in range(FLAGS.parts)]
+            parts = [threads.deferToThread(one_part, head, load[i :: FLAGS.parts], dirs) for i in range(FLAGS.parts)]
             for part in parts:
                 real.add((yield part))
             yield own
@@ -337,6 +366,7 @@
             yield real.run(events, FLAGS.speed)
         record(real)
         return real.report()
+
     f.start()
     try:
         return on_loop(start)
@@ -354,6 +384,7 @@
 
     def start():
         return real.run(events, FLAGS.speed).addCallback(lambda _: (record(real), real.report())[1])
+
     return on_loop(start)
 
 
@@ -373,7 +404,7 @@
     absl.flags.DEFINE_float('speed', 1.0, 'How many times as fast as recorded.', lower_bound=0.001)
     absl.flags.DEFINE_integer('seed', 1, 'Seed of a generated day, of the simulator, of the stand-ins.')
     absl.flags.DEFINE_float('seconds', 60, 'make: how long the day is.', lower_bound=1)
-    absl.flags.DEFINE_float('rate', None, 'make: requests a second (default: the deployment\'s own).')
+    absl.flags.DEFINE_float('rate', None, "make: requests a second (default: the deployment's own).")
     absl.flags.DEFINE_string('closing', 'kill_all', 'make: the closing fault.')
     absl.flags.DEFINE_string('record', '', 'fleet, at: write what was sent, as a day.')
     absl.flags.DEFINE_string('folder', '', 'fleet: where data and logs go.')
@@ -392,8 +423,9 @@
         for no, why in skipped:
             print(f'ztreplay: line {no}: {why} (skipped)', file=sys.stderr)
         if args[0] == 'check':
-            print(f'{len(events)} events over {events[-1]["at_ms"] / 1000 if events else 0:g} s,'
-                  f' {len(skipped)} skipped')
+            print(
+                f'{len(events)} events over {events[-1]["at_ms"] / 1000 if events else 0:g} s, {len(skipped)} skipped'
+            )
             sys.exit(0)
         rep, bad = RUNS[args[0]](head, events)
     except faults.Fault as e:
--- a/zinctrail/req/coord.py
+++ b/zinctrail/req/coord.py
@@ -27,7 +27,6 @@
 
 
 class Coord:
-
     def __init__(self, reactor, dirs, fetcher=None, clock=clock_.seconds, rng=None):
         self.reactor = reactor
         self.dirs = list(dirs)
@@ -49,8 +48,9 @@
         data = json.dumps(body).encode() if body is not None else b''
         while self.now() < end:
             sent = self.now()
-            res = yield self.fetcher.fetch('dir', self.dirs[0], method, path, {'content-type': 'application/json'},
-                                           data, min(hold, end - sent))
+            res = yield self.fetcher.fetch(
+                'dir', self.dirs[0], method, path, {'content-type': 'application/json'}, data, min(hold, end - sent)
+            )
             if not res.fault:
                 status = res.status
                 try:
@@ -113,9 +113,13 @@
 
         A CoordFault of status 410 says that history no longer reaches back.
         """
-        _, doc = yield self.put('POST', '/v1/key/watch', {'prefix': prefix, 'since': since,
-                                                          'wait_ms': seam.to_ms(hold)},
-                                hold + seam.ms(10000), hold + seam.ms(2000))
+        _, doc = yield self.put(
+            'POST',
+            '/v1/key/watch',
+            {'prefix': prefix, 'since': since, 'wait_ms': seam.to_ms(hold)},
+            hold + seam.ms(10000),
+            hold + seam.ms(2000),
+        )
         return doc
 
     def lock(self, name, holder, lease=seam.ms(5000)):
@@ -137,8 +141,12 @@
     @defer.inlineCallbacks
     def take(self, left=seam.ms(2000)):
         """True if it is ours (also renews); False while another holds it."""
-        body = {'name': self.name, 'holder': self.holder, 'lease_ms': seam.to_ms(self.lease),
-                'id': f'{self.coord.rng.getrandbits(96):024x}'}
+        body = {
+            'name': self.name,
+            'holder': self.holder,
+            'lease_ms': seam.to_ms(self.lease),
+            'id': f'{self.coord.rng.getrandbits(96):024x}',
+        }
         try:
             sent, doc = yield self.coord.put('POST', '/v1/lock/take', body, left)
         except CoordFault as e:
@@ -156,5 +164,6 @@
         self.until = self.fence = None
         taking, self.taking = self.taking, None
         if taking is not None:
-            yield self.coord.put('POST', '/v1/lock/free', {'name': self.name, 'holder': self.holder, 'take': taking},
-                                 left)
+            yield self.coord.put(
+                'POST', '/v1/lock/free', {'name': self.name, 'holder': self.holder, 'take': taking}, left
+            )
--- a/zinctrail/req/endpoint.py
+++ b/zinctrail/req/endpoint.py
@@ -21,7 +21,6 @@
 
 
 class Endpoint:
-
     def __init__(self, reactor, addr, service, cell, slots, handler, dirs, labels=None, beat=seam.ms(2000)):
         self.reactor = reactor
         self.serving = serving.Serving(addr, service, cell, slots, labels)
@@ -43,8 +42,9 @@
     def beat(self):
         body = json.dumps(self.serving.beat()).encode()
         for _ in range(len(self.dirs)):
-            res = yield self.fetcher.fetch('dir', self.dirs[0], 'POST', '/v1/beat',
-                                           {'content-type': 'application/json'}, body, seam.ms(1500))
+            res = yield self.fetcher.fetch(
+                'dir', self.dirs[0], 'POST', '/v1/beat', {'content-type': 'application/json'}, body, seam.ms(1500)
+            )
             if res.status == 410:
                 # Why a new one: we were declared gone, and what is gone stays gone.
                 logging.warning('endpoint: declared gone, comes back as somebody new.')
@@ -93,8 +93,9 @@
         self.ep = ep
 
     def render(self, request):
-        headers = {k.decode('latin-1').lower(): v[0].decode('latin-1')
-                   for k, v in request.requestHeaders.getAllRawHeaders()}
+        headers = {
+            k.decode('latin-1').lower(): v[0].decode('latin-1') for k, v in request.requestHeaders.getAllRawHeaders()
+        }
         if request.path == b'/zt/live':
             web.write(request, *self.ep.serving.live())
             return server.NOT_DONE_YET
@@ -105,8 +106,13 @@
         gone = []
         request.notifyFinish().addErrback(gone.append)
         inc = self.ep.serving.inc
-        d = defer.maybeDeferred(self.ep.handler, request.method.decode('latin-1'), request.uri.decode('latin-1'),
-                                headers, request.content.read())
+        d = defer.maybeDeferred(
+            self.ep.handler,
+            request.method.decode('latin-1'),
+            request.uri.decode('latin-1'),
+            headers,
+            request.content.read(),
+        )
 
         def failed(reason):
             logging.error('endpoint: handler broke: %s', reason.getTraceback())
@@ -120,5 +126,6 @@
                 web.write(request, *out)
             elif not gone:
                 request.loseConnection()
+
         d.addErrback(failed).addCallback(done)
         return server.NOT_DONE_YET
--- a/zinctrail/req/requester.py
+++ b/zinctrail/req/requester.py
@@ -1,8 +1,8 @@
 """The library a requester links: keeps the standing answer, sends, tells the outcome.
 
-  rq = requester.Requester(reactor, dirs=['127.0.0.1:7001'], cell='accra/a')
-  reply = yield rq.send('loans', '/checkout', body=b'{}', left=seconds5)
-  reply.outcome      ran, not-run or unknown
+rq = requester.Requester(reactor, dirs=['127.0.0.1:7001'], cell='accra/a')
+reply = yield rq.send('loans', '/checkout', body=b'{}', left=seconds5)
+reply.outcome      ran, not-run or unknown
 """
 
 import dataclasses
@@ -31,7 +31,6 @@
 
 
 class Requester:
-
     def __init__(self, reactor, dirs, cell='', home=(), attempts=3, fetcher=None, clock=clock_.seconds, rng=None):
         self.reactor = reactor
         self.dirs = list(dirs)
@@ -58,9 +57,15 @@
             body['cell'] = self.cell
         for _ in range(len(self.dirs)):
             began = self.now()
-            res = yield self.fetcher.fetch('dir', self.dirs[0], 'POST', '/v1/answer',
-                                           {'content-type': 'application/json'}, json.dumps(body).encode(),
-                                           min(wait, seam.ms(1000)))
+            res = yield self.fetcher.fetch(
+                'dir',
+                self.dirs[0],
+                'POST',
+                '/v1/answer',
+                {'content-type': 'application/json'},
+                json.dumps(body).encode(),
+                min(wait, seam.ms(1000)),
+            )
             if res.status == 200 and not res.fault:
                 self.answer = json.loads(res.body)
                 # Why from the asking: the directory counted from later, so ours ends first.
@@ -106,20 +111,29 @@
         self.turn += 1
         proxy = ans['proxies'][self.turn % len(ans['proxies'])]
         left = max(seam.ms(1), end - self.now())
-        headers = {'zt-id': rid, 'zt-attempt': str(attempt), 'zt-left-ms': str(max(1, seam.to_ms(left))),
-                   'content-type': 'application/json'}
+        headers = {
+            'zt-id': rid,
+            'zt-attempt': str(attempt),
+            'zt-left-ms': str(max(1, seam.to_ms(left))),
+            'content-type': 'application/json',
+        }
         if self.home:
             headers['zt-home'] = ','.join(self.home)
         if labels:
             headers['zt-labels'] = ','.join(f'{k}={v}' for k, v in labels.items())
         res = yield self.fetcher.fetch(proxy, proxy, method, f'/r/{service}{path}', headers, body, left)
-        reply = Reply(res.headers.get('zt-outcome', 'unknown'), res.status, res.headers, res.body, rid, attempt,
-                      res.fault)
+        reply = Reply(
+            res.headers.get('zt-outcome', 'unknown'), res.status, res.headers, res.body, rid, attempt, res.fault
+        )
         if not res.sent:
             # Why: nobody listens there, so nothing ran; another answer may name another proxy.
             reply.outcome, self.until = 'not-run', seam.ZERO
-        elif res.fault or not seal.whole(res.status, res.headers, res.body) \
-                or res.headers.get('zt-id') != rid or res.headers.get('zt-attempt') != str(attempt):
+        elif (
+            res.fault
+            or not seal.whole(res.status, res.headers, res.body)
+            or res.headers.get('zt-id') != rid
+            or res.headers.get('zt-attempt') != str(attempt)
+        ):
             reply.outcome, reply.body = 'unknown', b''
             reply.fault = res.fault or 'reply altered or of another request'
         if reply.status in (403, 503):
--- a/zinctrail/req/serving.py
+++ b/zinctrail/req/serving.py
@@ -34,9 +34,16 @@
         self.ran = collections.OrderedDict()
 
     def beat(self):
-        return {'inc': self.inc, 'addr': self.addr, 'service': self.service, 'cell': self.cell,
-                'labels': self.labels, 'slots': self.slots, 'state': self.state,
-                'cold': round(self.cold, 3)}
+        return {
+            'inc': self.inc,
+            'addr': self.addr,
+            'service': self.service,
+            'cell': self.cell,
+            'labels': self.labels,
+            'slots': self.slots,
+            'state': self.state,
+            'cold': round(self.cold, 3),
+        }
 
     def live(self):
         return 200, {'zt-inc': self.inc}, b''
@@ -79,6 +86,12 @@
         return self._sealed(status, headers, 'ran', body, kind)
 
     def _sealed(self, status, headers, outcome, body, kind='application/json'):
-        h = {'zt-id': headers.get('zt-id', ''), 'zt-attempt': headers.get('zt-attempt', ''), 'zt-inc': self.inc,
-             'zt-outcome': outcome, 'zt-pressure': f'{self.running / self.slots:.3f}', 'content-type': kind}
+        h = {
+            'zt-id': headers.get('zt-id', ''),
+            'zt-attempt': headers.get('zt-attempt', ''),
+            'zt-inc': self.inc,
+            'zt-outcome': outcome,
+            'zt-pressure': f'{self.running / self.slots:.3f}',
+            'content-type': kind,
+        }
         return status, seal.seal(status, h, body), body
--- a/zinctrail/seam.py
+++ b/zinctrail/seam.py
@@ -30,6 +30,7 @@
 @dataclasses.dataclass(slots=True)
 class Send:
     """Send a frame; the same `msg` object to several is written once, so nobody changes it afterwards."""
+
     addr: str
     msg: dict
     # Whether the receiver reads packed frames.
@@ -39,6 +40,7 @@
 @dataclasses.dataclass(slots=True)
 class Write:
     """Bring `text` durably to file `name`, then forget the files in `gone`."""
+
     name: str
     text: str
     gone: tuple = ()
@@ -47,6 +49,7 @@
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """Answer the HTTP call `rid`."""
+
     rid: typing.Any
     status: int
     headers: dict
@@ -60,6 +63,7 @@
     The host asks a new connection's other side who it is before the first
     request goes over it: a newcomer on the address must not get even one.
     """
+
     fid: int
     addr: str
     inc: str
@@ -77,6 +81,7 @@
 @dataclasses.dataclass(slots=True)
 class Fetched:
     """`sent` is False only if it is certain that no byte went out."""
+
     status: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
     body: bytes = b''
@@ -87,12 +92,14 @@
 @dataclasses.dataclass(slots=True)
 class Close:
     """Close the connections kept for an incarnation."""
+
     inc: str
 
 
 @dataclasses.dataclass(slots=True)
 class Limits:
     """What a client of open traffic may send, and how long it may take or rest."""
+
     header_bytes: int = 16384
     body_bytes: int = 64 << 20
     header_ms: int = 3000
@@ -102,12 +109,14 @@
 @dataclasses.dataclass(slots=True)
 class Leave:
     """Open traffic is to go elsewhere: each answer is its connection's last; with `shut` none are accepted."""
+
     shut: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class Log:
     """A sentence, and what it tells as fields (zinctrail/logs.py)."""
+
     text: str
     fields: dict = dataclasses.field(default_factory=dict)
 
@@ -115,6 +124,7 @@
 @dataclasses.dataclass(slots=True)
 class Done:
     """Reached only if every Write before it was durable; the host feeds `done`."""
+
     name: str
 
 
@@ -126,6 +136,7 @@
 @dataclasses.dataclass(slots=True)
 class Call:
     """An HTTP call as machines see it; header names are in lower case."""
+
     method: str
     path: str
     headers: dict
@@ -151,7 +162,7 @@
         out, self.out = self.out, []
         return out
 
-    def due(self) -> typing.Optional[datetime.timedelta]:
+    def due(self) -> datetime.timedelta | None:
         return min(self.alarms.values(), default=None)
 
     def on_wake(self):
--- a/zinctrail/trace.py
+++ b/zinctrail/trace.py
@@ -12,7 +12,6 @@
 
 
 class Tracer:
-
     def __init__(self, share=0.0):
         self.below = int(share * (1 << 32))
         self.second = None
