Sight: disconnects of clients, work that outlives them, and lookups that name other regions

Neither log nor metric told whether a proxy learns that a client has left, what became of its request, or what an answer of the directory named.

--- a/features/steps/routes_kept_steps.py
+++ b/features/steps/routes_kept_steps.py
@@ -45,6 +45,9 @@
         self.node = 'directory'
         self.proxy_lookup = proxy_lookup.ProxyLookup(self)
 
+    def log(self, text, event='', **fields):
+        """Log nothing."""
+
     def lease_left(self):
         """How long the lease lasts yet."""
         return durations.ms(1000)
--- a/zinctrail/control/controller.py
+++ b/zinctrail/control/controller.py
@@ -68,6 +68,11 @@
             return False, 'its cluster was given up'
         return self.http_api.readiness()
 
+    def measures(self):
+        """Rows of runtime/metrics.py."""
+        yield from super().measures()
+        yield from self.proxy_lookup.metrics.rows()
+
     # -- leases -----------------------------------------------------------
 
     def leased(self):
--- a/zinctrail/control/proxy_lookup.py
+++ b/zinctrail/control/proxy_lookup.py
@@ -12,6 +12,7 @@
 import zinctrail.consensus.node_location as node_location
 import zinctrail.consensus.replica as replica
 import zinctrail.control.http_api as http_api
+import zinctrail.control.lookup_metrics as lookup_metrics
 import zinctrail.control.replies as replies
 import zinctrail.control.routing_table as routing_table
 import zinctrail.control.rows as rows
@@ -47,12 +48,16 @@
     def lease_left(self) -> datetime.timedelta:
         """How long it may go on doing so."""
 
+    def log(self, text: str, event: str = '', **fields: typing.Any) -> None:
+        """Log a sentence, and what one would search for."""
+
 
 class ProxyLookup:
     """Finds the proxies for a client in the routing table of a member."""
 
     def __init__(self, member: LookupNode):
         self.member = member
+        self.metrics = lookup_metrics.LookupMetrics(member)
 
     def answer(self, body: dict, answer: replies.Callback) -> None:
         """POST /v1/answer: {home: [regions], cell: zone, most: N, front: bool}, all of them optional.
@@ -123,13 +128,18 @@
     def find_fronts(self, zone: str, most: int) -> replies.Result:
         """The fronts for open traffic: the zone's own, with the region's where those are few."""
         fronts: list[str] = []
+        named: list[tuple[str, ...]] = []
         for tier in self.member.routes.fronts(zone):
-            if len(fronts) < FRONTS_LEAST:
-                # Sampled instead of shuffled: an answer must not cost more the more proxies there are.
-                fronts += self.member.rng.sample(tier, min(len(tier), most))
+            is_named = len(fronts) < FRONTS_LEAST
+            # Sampled instead of shuffled: an answer must not cost more the more proxies there are.
+            sample = self.member.rng.sample(tier, min(len(tier), most)) if is_named else []
+            named.append(tuple(sample[: most - len(fronts)]))
+            fronts += named[-1]
         if not fronts:
             raise errors.UnavailableError('no proxy may carry this now', retry_ms=RETRY_WITHOUT_PROXY_MS)
-        return replies.ok(proxies=fronts[:most], ttl_ms=self._time_to_live_ms())
+        in_zone, in_region, elsewhere = named
+        self.metrics.observe(zone, (in_zone, in_region, elsewhere))
+        return replies.ok(proxies=fronts, ttl_ms=self._time_to_live_ms())
 
     def _time_to_live_ms(self) -> int:
         """How long a client may use the answer: never beyond the lease that it rests on."""
--- a/zinctrail/directory/daemon.py
+++ b/zinctrail/directory/daemon.py
@@ -176,6 +176,11 @@
 
     # -- status -----------------------------------------------------------
 
+    def measures(self) -> typing.Iterator[tuple]:
+        """Rows of runtime/metrics.py."""
+        yield from super().measures()
+        yield from self.proxy_lookup.metrics.rows()
+
     def status(self) -> dict[str, typing.Any]:
         """As every member, with the ledgers that it owns."""
         return {
--- a/zinctrail/proxy/node.py
+++ b/zinctrail/proxy/node.py
@@ -12,6 +12,7 @@
 import zinctrail.control.http_api as http_api
 import zinctrail.control.routing_table as routing_table
 import zinctrail.proxy.at_most_once as at_most_once
+import zinctrail.proxy.client_disconnects as client_disconnects
 import zinctrail.proxy.client_limits as client_limits
 import zinctrail.proxy.client_responses as client_responses
 import zinctrail.proxy.credit as credit
@@ -69,6 +70,8 @@
         self.open_upstream = open_upstream.OpenUpstream(self)
         self.hedging = hedging.Hedging(self)
         self.open_responses = open_responses.OpenResponses(self)
+        # Open traffic: callers that go away before their answer.
+        self.client_disconnects = client_disconnects.ClientDisconnects(self)
         # Open traffic: failures that the leader is told of, and limits that the server is told.
         self.outlier_reports = outlier_reports.OutlierReports(self)
         self.client_limits = client_limits.ClientLimits(self)
@@ -183,6 +186,7 @@
         """Rows of runtime/metrics.py."""
         yield from super().measures()
         yield from self.request_metrics.rows()
+        yield from self.client_disconnects.rows()
 
     def applied(self, rows: list | None) -> None:
         """A version of the state came into force; `rows` are its changes, None: all of it."""
--- a/zinctrail/proxy/open_responses.py
+++ b/zinctrail/proxy/open_responses.py
@@ -110,5 +110,8 @@
     def hung_up(self, call_id: typing.Any) -> None:
         """The caller went away: what was not sent yet is dropped."""
         request = self.proxy.runner.requests.get(call_id)
-        if request is not None and not request.in_flight and request.is_open_traffic:
+        if request is None or not request.is_open_traffic:
+            return
+        self.proxy.client_disconnects.observe_disconnect(request)
+        if not request.in_flight:
             self.proxy.runner.remove(request)
--- a/zinctrail/proxy/open_upstream.py
+++ b/zinctrail/proxy/open_upstream.py
@@ -51,6 +51,7 @@
         if not request.at_most_once and self.may_send_again(request):
             proxy.hedging.plan(request, hedging.first_hedge(request, now))
         proxy.counts['sends'] += 1
+        proxy.client_disconnects.observe_send(request)
         request.sent_at = request.sent_at or now
         left = request.deadline - now
         headers = open_responses.end_to_end_headers(request.call.headers)
@@ -85,6 +86,7 @@
                 request, incarnation, view, result, durations.to_ms(proxy.now - sent_at)
             )
         request.in_flight.pop(fetch_id, None)
+        proxy.client_disconnects.observe_fetch_end(request, incarnation, sent_at)
         if request.sent_at is not None and not request.in_flight:
             request.time_at_endpoints += proxy.now - request.sent_at
             request.sent_at = None
--- a/zinctrail/proxy/proxy_part.py
+++ b/zinctrail/proxy/proxy_part.py
@@ -16,6 +16,7 @@
 
 if typing.TYPE_CHECKING:
     import zinctrail.proxy.at_most_once as at_most_once
+    import zinctrail.proxy.client_disconnects as client_disconnects
     import zinctrail.proxy.client_limits as client_limits
     import zinctrail.proxy.client_responses as client_responses
     import zinctrail.proxy.credit as credit
@@ -67,6 +68,7 @@
     open_upstream: 'open_upstream.OpenUpstream'
     hedging: 'hedging.Hedging'
     open_responses: 'open_responses.OpenResponses'
+    client_disconnects: 'client_disconnects.ClientDisconnects'
     outlier_reports: 'outlier_reports.OutlierReports'
     client_limits: 'client_limits.ClientLimits'
     request_metrics: 'request_metrics.RequestMetrics'
--- a/zinctrail/proxy/request.py
+++ b/zinctrail/proxy/request.py
@@ -96,6 +96,8 @@
     result: effects.HttpResult = dataclasses.field(default_factory=lambda: NO_RESULT)
     # Of open traffic: {fetch id: incarnation} of what is not answered yet. Set when it is sent and answered.
     in_flight: dict[int, str] = dataclasses.field(default_factory=dict)
+    # Of open traffic: when its caller went away before its answer. Set by client_disconnects.py.
+    disconnected_at: datetime.timedelta | None = None
     # Of open traffic: when a hedged request is sent beside it. Set when it is sent.
     hedge_at: datetime.timedelta | None = None
     # Since when it is at an endpoint, and for how long it was before. Set when it is sent and answered.
