Proxy: what a client has left is dropped or cancelled at its endpoints

What was in flight stayed in the table: its calls ran to their end, and it was hedged and sent again for nobody. Nothing in the product could end a call to an endpoint. Change: an effect CancelFetch closes the connection of a call (both hosts); a request of open traffic whose client goes away is removed and its calls are cancelled, hedges too; one that may run once is let run, and not sent again. How long an endpoint had been silent by then counts for the choice of endpoints.

--- /dev/null
+++ b/features/client_disconnects.feature
@@ -0,0 +1,79 @@
+Feature: Nobody works for a client that has left
+  A client of open traffic may leave at any moment: what is done for it ends, and nothing is begun.
+  A request that may run at most once runs on where it was sent, and is sent nowhere else.
+
+  Scenario Outline: A caller goes away while its request is <state>, which may run <times>
+    Given a proxy for open traffic with 2 endpoints, whose rule says <times>
+    When its request is <state>, and the caller goes away
+    Then <cancelled> calls to endpoints are cancelled, and <left> run on
+    When the proxy goes on for 3000 ms
+    Then it was sent <sends> times in all, and no work is counted at any endpoint
+    And the proxy holds no request
+    Examples: what may be repeated
+      | state                                     | times | cancelled | left | sends |
+      | waiting for a lease                       | often | 0         | 0    | 0     |
+      | waiting for room                          | often | 0         | 0    | 0     |
+      | at an endpoint                            | often | 1         | 0    | 1     |
+      | at an endpoint, and the proxy drains      | often | 1         | 0    | 1     |
+      | at an endpoint, and the lease is over     | often | 1         | 0    | 1     |
+      | at two endpoints                          | often | 2         | 0    | 2     |
+      | at the second after the first refused it  | often | 1         | 0    | 2     |
+      | at the second after the first was silent, and the first answered 500 | often | 1 | 0 | 2 |
+    Examples: what may run once
+      | state                                     | times | cancelled | left | sends |
+      | waiting for a lease                       | once  | 0         | 0    | 0     |
+      | waiting for room                          | once  | 0         | 0    | 0     |
+      | at an endpoint                            | once  | 0         | 1    | 1     |
+      | at an endpoint, and the proxy drains      | once  | 0         | 1    | 1     |
+
+  Scenario Outline: A request whose caller has gone, and that may run once, is not sent again when its endpoint <does>
+    Given a proxy for open traffic with 2 endpoints, whose rule says once
+    When its request is at an endpoint, and the caller goes away
+    And its endpoint <does>
+    Then it was sent 1 times in all, and no work is counted at any endpoint
+    And the proxy holds no request
+    Examples:
+      | does                   |
+      | answers 503 as not run |
+      | answers 421            |
+      | can not be reached     |
+      | cuts its answer off    |
+
+  Scenario: A result that was under way when its call was cancelled changes nothing
+    Given a proxy for open traffic with 2 endpoints, whose rule says often
+    When its request is at an endpoint, and the caller goes away
+    And the result of the cancelled call comes
+    Then it was sent 1 times in all, and no work is counted at any endpoint
+
+  Scenario: Room that a cancelled request leaves goes to one that waits
+    Given a proxy for open traffic with 1 endpoints
+    When the endpoint is full, and requests of rank 2, 0 and 1 wait
+    And the caller of one at the endpoint goes away
+    Then the one of rank 0 is sent
+
+  Scenario: A proxy that drains does not wait for what its clients have left
+    Given a proxy for open traffic with 2 endpoints, whose rule says often
+    When its request is at an endpoint, and the proxy drains, and the caller goes away
+    Then the proxy ends as soon as it takes no more connections
+
+  Scenario: An endpoint that nobody has the patience to wait for does not look like an idle one
+    Given a proxy for open traffic with 2 endpoints, whose rule says often
+    When e0 is silent, e1 takes 100 ms, and 30 callers come 600 ms apart, who go away after 550 ms
+    Then e0 has been sent less than a third of them
+
+  Scenario Outline: A cancelled request ends its connection, and says nothing against its endpoint: <when>
+    Given an endpoint that answers with a whole answer, but first as far as <part>
+    When a request to it is cancelled <when>
+    Then the connection is closed, and nothing broke
+    And the next request is answered over another connection
+    Examples:
+      | part                 | when                                |
+      | nothing of it        | before it is connected              |
+      | nothing of it        | once the endpoint has it            |
+      | a part of its head   | once the endpoint has it            |
+      | a part of its body   | once a part of the answer has come  |
+
+  Scenario: A request that is cancelled once its answer is complete changes nothing
+    Given an endpoint that answers with a whole answer
+    When a request is sent, and cancelled after its answer
+    Then it goes over the same connection
--- a/features/platform_chain.feature
+++ b/features/platform_chain.feature
@@ -90,10 +90,17 @@
     When both answer a request well, and once more in the place of the next one
     Then no client is given another answer than its own
 
-  Scenario: The work for a client that closes its connection ends
+  Scenario Outline: The work for a client that <leaves> its connection ends, at <where>
     Given endpoints of sa
-    When a client closes its connection while an endpoint works on its request
-    Then the endpoint sees its connection close long before the time of the request is over
+    When a client <leaves> its connection while its request is worked on at <where>
+    Then each of them sees its own connection close long before the time of the request is over
+    And the next request on that route is answered well
+    Examples:
+      | leaves | where         |
+      | closes | one endpoint  |
+      | resets | one endpoint  |
+      | closes | two endpoints |
+      | resets | two endpoints |
 
   Scenario: Turned away by all, it is refused with a promise and a time to come back
     Given endpoints of sa
@@ -175,6 +182,18 @@
     When the ended proxy starts again
     Then resolutions name it again
 
+  Scenario Outline: What its client has left keeps no proxy from its end, and no endpoint at work: <end>
+    Given endpoints of sa
+    When a client closes its connection at a proxy that was <end>, while its request is worked on at one endpoint
+    Then each of them sees its own connection close long before the time of the request is over
+    And the proxy has ended within its grace
+    When the ended proxy starts again
+    Then resolutions name it again
+    Examples:
+      | end         |
+      | told to end |
+      | killed      |
+
   Scenario: SIGTERM at the leader: changes go on, and what was acknowledged stays
     When the leader is told to end while the operator sends changes
     Then each acknowledged change is read back
--- a/features/steps/platform_chain_disconnect_steps.py
+++ b/features/steps/platform_chain_disconnect_steps.py
@@ -1,6 +1,9 @@
-"""Steps of platform_chain.feature: clients that leave while an endpoint works on their request."""
+"""Steps of platform_chain.feature: clients that leave while endpoints work on their request."""
 
+import signal
 import socket
+import struct
+import time
 
 import behave
 
@@ -9,6 +12,12 @@
 # Much less than a request that is worked on has left, and enough for a crowded machine.
 SEEN_S = 12
 LEFT_MS = 30000
+ROUTES = {
+    'one endpoint': deployment_client.PATIENT_ROUTE,
+    'two endpoints': deployment_client.PATIENT_HEDGED_ROUTE,
+}
+ENDPOINT_COUNTS = {'one endpoint': 1, 'two endpoints': 2}
+ENDS = {'told to end': signal.SIGTERM, 'killed': signal.SIGKILL}
 
 
 def connect_and_send(front: str, route: str, attempt_id: str) -> socket.socket:
@@ -25,27 +34,60 @@
     return connection
 
 
-@behave.when('a client closes its connection while an endpoint works on its request')
-def client_closes(context):
+def send_and_wait(context, front: str, where: str) -> socket.socket:
+    """A client's connection, once its request is worked on."""
     deployment = deployment_client.running()
-    deployment_client.add_patient_route(context.front)
+    deployment_client.add_patient_routes(front)
+    # The retry budget that pays for a hedge grows with the requests that were served.
+    for _ in range(10):
+        deployment_client.send_request(front)
     for stand_in in context.endpoints:
         stand_in.behaviours = ['work']
+    context.route = ROUTES[where]
     context.attempt_id = deployment.new_attempt_id()
-    connection = connect_and_send(context.front, deployment_client.PATIENT_ROUTE, context.attempt_id)
-    deployment.wait_until(lambda: deployment_client.executions(context.attempt_id), 'an endpoint to work on it')
+    connection = connect_and_send(front, context.route, context.attempt_id)
+    deployment.wait_until(
+        lambda: len(deployment_client.executions(context.attempt_id)) == ENDPOINT_COUNTS[where],
+        f'{where} to work on it',
+    )
+    return connection
+
+
+@behave.when('a client {leaves} its connection while its request is worked on at {where}')
+def client_leaves(context, leaves: str, where: str):
+    connection = send_and_wait(context, context.front, where)
+    if leaves == 'resets':
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    connection.close()
+
+
+@behave.when('a client closes its connection at a proxy that was {end}, while its request is worked on at one endpoint')
+def client_leaves_ending_proxy(context, end: str):
+    context.ended = deployment_client.running().edges[0]
+    connection = send_and_wait(context, context.ended.front, 'one endpoint')
+    context.ended.signal(ENDS[end])
+    context.told_at = time.monotonic()
     connection.close()
 
 
-@behave.then('the endpoint sees its connection close long before the time of the request is over')
-def endpoint_sees_the_close(context):
+@behave.then('each of them sees its own connection close long before the time of the request is over')
+def endpoints_see_the_close(context):
+    endpoints = [stand_in for stand_in, _ in deployment_client.executions(context.attempt_id)]
     try:
-        ((stand_in, _),) = deployment_client.executions(context.attempt_id)
         deployment_client.running().wait_until(
-            lambda: context.attempt_id in stand_in.dropped, 'the endpoint to see its connection close', SEEN_S
+            lambda: all(context.attempt_id in stand_in.dropped for stand_in in endpoints),
+            'the endpoints to see their connections close',
+            SEEN_S,
         )
     except RuntimeError as late:
         raise AssertionError('work goes on for a client that has left') from late
     finally:
-        for each in context.endpoints:
-            each.behaviours = []
+        for stand_in in context.endpoints:
+            stand_in.behaviours = []
+
+
+@behave.then('the proxy has ended within its grace')
+def proxy_has_ended(context):
+    context.ended.wait(30)
+    took_s = time.monotonic() - context.told_at
+    assert took_s < context.ended.settings['bounds']['grace_period_s'] * deployment_client.contention(), took_s
--- a/features/support/deployment_client.py
+++ b/features/support/deployment_client.py
@@ -17,8 +17,8 @@
 # Long, because whoever waits for a response here waits for an event, also on a crowded machine.
 ROUTE_TIMEOUT_MS = 10000
 ROUTE_TARGET_MS = 1500
-# A route whose requests may wait for a minute, and are not hedged meanwhile.
-PATIENT_ROUTE = 'r8'
+# Routes whose requests may wait for a minute: they are not hedged meanwhile, or soon.
+PATIENT_ROUTE, PATIENT_HEDGED_ROUTE = 'r8', 'r9'
 PATIENT_MS = 60000
 
 Executed = tuple[endpoint.Endpoint, endpoint.Request]
@@ -117,11 +117,19 @@
     running().items['route_list'] += routes
 
 
-def add_patient_route(front: str) -> None:
-    """Add PATIENT_ROUTE, unless it is there, and wait until a proxy knows it."""
+def add_patient_routes(front: str) -> None:
+    """Add the patient routes, unless they are there, and wait until a proxy knows them."""
+    targets_ms = {PATIENT_ROUTE: PATIENT_MS, PATIENT_HEDGED_ROUTE: ROUTE_TARGET_MS}
     if all(route['name'] != PATIENT_ROUTE for route in running().items['route_list']):
-        add_routes([platform_documents.route(PATIENT_ROUTE, timeout_ms=PATIENT_MS, target_ms=PATIENT_MS)])
-    running().wait_until(lambda: send_request(front, PATIENT_ROUTE).status == 200, 'the patient route')
+        add_routes(
+            [
+                platform_documents.route(name, timeout_ms=PATIENT_MS, target_ms=target_ms)
+                for name, target_ms in targets_ms.items()
+            ]
+        )
+    running().wait_until(
+        lambda: {send_request(front, name).status for name in targets_ms} == {200}, 'the patient routes'
+    )
 
 
 def change_route(number: int) -> None:
--- a/zinctrail/proxy/client_disconnects.py
+++ b/zinctrail/proxy/client_disconnects.py
@@ -1,4 +1,10 @@
-"""Callers of open traffic that go away before their answer: what was under way for them, and what came of it."""
+"""Callers that go away before their answer: what was under way for them is dropped, or runs on for a reason.
+
+A request that may be repeated is of use to nobody any more: what waits is
+dropped, and what is at an endpoint is cancelled. One that may run at most once
+runs on where it was sent, since an endpoint that is broken off in the middle
+may have done half of it; it is not sent again.
+"""
 
 import datetime
 import typing
@@ -9,34 +15,47 @@
 import zinctrail.runtime.metrics as metrics
 
 Request = request_record.Request
-# The counters of this part, by what was under way when the caller went away.
-WAITING, AT_ENDPOINT = 'waiting', 'at_endpoint'
-# The counter of requests that were sent after their caller had gone.
-SENT_AFTERWARDS = 'sent_after_disconnect'
+# What becomes of a request whose caller goes away, as counted.
+DROPPED, CANCELLED, RUNS_ON = 'dropped', 'cancelled', 'runs_on'
 
 
 class ClientDisconnects(proxy_part.ProxyPart):
-    """Counts and logs disconnects, and the work that goes on after them."""
+    """Ends the work for callers that have gone, and counts and logs it."""
+
+    def disconnected(self, call_id: typing.Any) -> None:
+        """A caller has gone; its request may be answered already."""
+        request = self.proxy.runner.requests.get(call_id)
+        if request is None or not request.is_open_traffic:
+            return
+        in_flight = sorted(request.in_flight.values())
+        fate = self.end_open_request(request)
+        self.observe(request, in_flight, fate)
 
-    def observe_disconnect(self, request: Request) -> None:
-        """A caller has gone; its request is not answered yet."""
-        request.disconnected_at = self.proxy.now
-        self.proxy.counts[f'disconnects_{AT_ENDPOINT if request.in_flight else WAITING}'] += 1
+    def end_open_request(self, request: Request) -> str:
+        """Drop or cancel a request of open traffic, or let it run on; says which."""
+        if request.in_flight and request.at_most_once:
+            request.disconnected_at = self.proxy.now
+            return RUNS_ON
+        is_at_endpoint = bool(request.in_flight)
+        # Removed first: room that becomes free goes to requests that somebody waits for.
+        self.proxy.runner.remove(request)
+        self.proxy.open_upstream.cancel(request)
+        return CANCELLED if is_at_endpoint else DROPPED
+
+    def observe(self, request: Request, in_flight: list[str], fate: str) -> None:
+        """Count a disconnect, and log a few of them each second."""
+        self.proxy.counts[f'disconnects_{fate}'] += 1
         if self.proxy.request_sampler.admits_failure(self.proxy.now):
             self.proxy.log(
                 f'Client of request {request.id} has disconnected.',
                 'disconnect',
                 id=request.id,
-                in_flight=sorted(request.in_flight.values()),
+                fate=fate,
+                in_flight=in_flight,
                 tries=request.send_count,
                 age_ms=durations.to_ms(self.proxy.now - request.received_at),
             )
 
-    def observe_send(self, request: Request) -> None:
-        """A request is sent to an endpoint; nobody may be there any more to take the answer."""
-        if request.disconnected_at is not None:
-            self.proxy.counts[SENT_AFTERWARDS] += 1
-
     def observe_fetch_end(self, request: Request, incarnation: str, sent_at: datetime.timedelta) -> None:
         """A request's work at an endpoint has ended."""
         if request.disconnected_at is None or not self.proxy.request_sampler.admits_failure(self.proxy.now):
@@ -53,10 +72,10 @@
     def rows(self) -> typing.Iterator[metrics.Metric]:
         """Rows of runtime/metrics.py."""
         counts = self.proxy.counts
-        states = {state: counts[f'disconnects_{state}'] for state in (WAITING, AT_ENDPOINT)}
         yield metrics.by_label(
-            metrics.COUNTER, 'disconnects', 'Clients that went away before their answer.', 'state', states
-        )
-        yield metrics.counter(
-            SENT_AFTERWARDS, 'Requests sent to endpoints after their client had gone.', counts[SENT_AFTERWARDS]
+            metrics.COUNTER,
+            'disconnects',
+            'Clients that went away before their answer, by what became of their request.',
+            'fate',
+            {fate: counts[f'disconnects_{fate}'] for fate in (DROPPED, CANCELLED, RUNS_ON)},
         )
--- a/zinctrail/proxy/endpoint_view.py
+++ b/zinctrail/proxy/endpoint_view.py
@@ -22,6 +22,11 @@
 LONG_AGO = durations.ms(-3600000)
 
 
+def unresponsive_after(typical_ms: float) -> datetime.timedelta:
+    """How long an endpoint with work may go without a response, where its pool's usual time is so many milliseconds."""
+    return max(UNRESPONSIVE_LEAST, durations.ms(UNRESPONSIVE_TIMES * typical_ms))
+
+
 class EndpointView:
     """What this proxy learned of one incarnation. Its times are monotonic, as the state machine's `now`."""
 
@@ -62,9 +67,7 @@
 
     def is_unresponsive(self, now: datetime.timedelta, typical_ms: float) -> bool:
         """Whether it has had work of ours for several times the usual time, and did not respond."""
-        return self.in_use > 0 and now - max(self.busy_since, self.responded_at) > max(
-            UNRESPONSIVE_LEAST, durations.ms(UNRESPONSIVE_TIMES * typical_ms)
-        )
+        return self.in_use > 0 and now - max(self.busy_since, self.responded_at) > unresponsive_after(typical_ms)
 
     def slowness(self, typical_ms: float) -> float:
         """Its usual time over that of its pool, within bounds."""
@@ -91,6 +94,17 @@
             self.took_ms += (took_ms - self.took_ms) * SMOOTHING if self.took_ms else took_ms
             self.successes = min(SUCCESSES_MOST, self.successes + 1)
 
+    def observe_cancelled(self, now: datetime.timedelta, took_ms: int, typical_ms: float) -> None:
+        """A request that it did not respond to for so long was given up.
+
+        That time says at least how long it takes; without it, an endpoint that nobody has the patience to wait for would
+        look as if it had no work and were as fast as ever.
+        """
+        if durations.ms(took_ms) > unresponsive_after(typical_ms):
+            self.observe(now, has_failed=True, took_ms=took_ms)
+        elif 0 < self.took_ms < took_ms:
+            self.took_ms += (took_ms - self.took_ms) * SMOOTHING
+
     def rest(self, now: datetime.timedelta) -> None:
         """Do not choose it for a while, longer each time."""
         self.consecutive_failures += 1
--- a/zinctrail/proxy/node.py
+++ b/zinctrail/proxy/node.py
@@ -116,8 +116,8 @@
         self.runner.begin_open_request(call_id, call)
 
     def on_hung_up(self, call_id: typing.Any) -> None:
-        """Input: the caller went away. What was sent is sent; its result is still kept for a retry."""
-        self.open_responses.hung_up(call_id)
+        """Input: the caller went away before its answer."""
+        self.client_disconnects.disconnected(call_id)
 
     # -- frames and fetches, as they come in --------------------------------
 
@@ -141,8 +141,9 @@
         """Input: a fetch ended."""
         if fetch_id in self.open_upstream.fetches:
             self.open_upstream.fetched(fetch_id, result)
-        else:
+        elif fetch_id in self.upstream.fetches:
             self.upstream.fetched(fetch_id, result)
+        # Any other was cancelled while its result was under way to us.
 
     # -- timers -------------------------------------------------------------
 
--- a/zinctrail/proxy/open_responses.py
+++ b/zinctrail/proxy/open_responses.py
@@ -1,7 +1,5 @@
 """Responses of open traffic: which of an endpoint's are complete, and the answers of this proxy."""
 
-import typing
-
 import zinctrail.proxy.proxy_part as proxy_part
 import zinctrail.proxy.refusals as refusals
 import zinctrail.proxy.request as request_record
@@ -106,12 +104,3 @@
             self.proxy.runner.refuse(request, refusals.OutcomeUnknown(504, 'no reply in time'))
         else:
             self.proxy.runner.refuse(request, refusals.DeadlineExceeded(outcome=refusals.UNKNOWN))
-
-    def hung_up(self, call_id: typing.Any) -> None:
-        """The caller went away: what was not sent yet is dropped."""
-        request = self.proxy.runner.requests.get(call_id)
-        if request is None or not request.is_open_traffic:
-            return
-        self.proxy.client_disconnects.observe_disconnect(request)
-        if not request.in_flight:
-            self.proxy.runner.remove(request)
--- a/zinctrail/proxy/open_upstream.py
+++ b/zinctrail/proxy/open_upstream.py
@@ -51,7 +51,6 @@
         if not request.at_most_once and self.may_send_again(request):
             proxy.hedging.plan(request, hedging.first_hedge(request, now))
         proxy.counts['sends'] += 1
-        proxy.client_disconnects.observe_send(request)
         request.sent_at = request.sent_at or now
         left = request.deadline - now
         headers = open_responses.end_to_end_headers(request.call.headers)
@@ -96,6 +95,20 @@
         if proxy.open_queue.queued:
             proxy.open_queue.run_queued()
 
+    def cancel(self, request: Request) -> None:
+        """Give up what a request still has at endpoints; nobody waits for it."""
+        proxy = self.proxy
+        for fetch_id, incarnation in request.in_flight.items():
+            fetch = self.fetches.pop(fetch_id)
+            view = proxy.endpoint_selection.endpoint_views.get(incarnation)
+            if view is not None:
+                view.in_use -= 1
+                proxy.outlier_reports.observe_cancelled(request, view, durations.to_ms(proxy.now - fetch.sent_at))
+            proxy.out.append(effects.CancelFetch(fetch_id))
+        request.in_flight.clear()
+        if proxy.open_queue.queued:
+            proxy.open_queue.run_queued()
+
     def rest_endpoint(self, incarnation: str) -> None:
         """Leave an endpoint out for a while, longer each time, and have the leader look at it."""
         self.proxy.endpoint_selection.view_of(incarnation).rest(self.proxy.now)
@@ -113,8 +126,12 @@
         return left < least and durations.to_ms(left) < self.proxy.endpoint_selection.typical_ms.get(request.pool, 0.0)
 
     def may_send_again(self, request: Request) -> bool:
-        """Whether the rule's attempts and the time allow one more send."""
-        return request.send_count < request.open_rule.get('attempts', 1) and self.proxy.now < request.deadline
+        """Whether the rule's attempts and the time allow one more send, and its caller still waits."""
+        return (
+            request.send_count < request.open_rule.get('attempts', 1)
+            and self.proxy.now < request.deadline
+            and request.disconnected_at is None
+        )
 
     def retry(self, request: Request, refusal: refusals.Refusal | None) -> bool:
         """Send it again where rule, time and retry budget allow; else refuse it.
--- a/zinctrail/proxy/outlier_reports.py
+++ b/zinctrail/proxy/outlier_reports.py
@@ -60,6 +60,10 @@
                 typical + (took_ms - typical) * endpoint_view.SMOOTHING if typical else float(took_ms)
             )
 
+    def observe_cancelled(self, request: Request, view: endpoint_view.EndpointView, took_ms: int) -> None:
+        """A request was given up before its endpoint responded; the leader is not told, as no response was due."""
+        view.observe_cancelled(self.proxy.now, took_ms, self.proxy.endpoint_selection.typical_ms.get(request.pool, 0.0))
+
     def report_failure(
         self, request: Request, view: endpoint_view.EndpointView, incarnation: str, took_ms: int
     ) -> None:
--- a/zinctrail/runtime/effects.py
+++ b/zinctrail/runtime/effects.py
@@ -92,6 +92,16 @@
     at_most_once: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class CancelFetch:
+    """Give an HttpFetch up: its connection is closed, so that the endpoint may drop the work.
+
+    No result is fed any more, unless it was under way to the state machine already.
+    """
+
+    fetch_id: int
+
+
 @dataclasses.dataclass(slots=True)
 class HttpResult:
     """What came of an HttpFetch."""
--- a/zinctrail/simulation/node.py
+++ b/zinctrail/simulation/node.py
@@ -4,6 +4,8 @@
 import random
 import typing
 
+import twisted.internet.defer as defer
+
 import zinctrail.consensus.node_location as node_location
 import zinctrail.control.controller as controller
 import zinctrail.directory.daemon as daemon
@@ -63,6 +65,8 @@
         self.wake_at: datetime.timedelta | None = None
         # Callbacks of the HTTP requests under way, by request id.
         self.requests: dict[int, typing.Callable] = {}
+        # Calls to endpoints that have no result yet, by the id of their fetch.
+        self.fetches: dict[int, defer.Deferred] = {}
         # Lines with their times, and the same with their fields.
         self.logs: list[tuple[datetime.timedelta, str]] = []
         self.log_records: list[LogRecord] = []
@@ -119,7 +123,11 @@
         for callback in self.requests.values():
             callback(effects.HttpResult(fault='connection lost'))
         self.requests = {}
-        # The kernel closes a dead process's connections, which its peers notice.
+        # The kernel closes a dead process's connections, which its peers notice, and endpoints too.
+        if not power:
+            for deferred in self.fetches.values():
+                self.world.after(self.world.delay(), self.world.give_up, deferred)
+        self.fetches = {}
         for other in self.world.nodes.values():
             if other.up and other is not self and not self.world.is_cut(self.name, other.name):
                 self.world.after(
@@ -236,7 +244,20 @@
         """Call an endpoint; the result comes back as an input."""
         deferred = self.world.fetch_endpoint(self.name, effect)
         incarnation = self.incarnation
-        deferred.addCallback(lambda result: self.feed_incarnation(incarnation, 'fetched', effect.fetch_id, result))
+
+        def received(result: effects.HttpResult) -> None:
+            """Feed the result, unless the process has ended or has cancelled the call."""
+            if incarnation == self.incarnation and self.fetches.pop(effect.fetch_id, None) is not None:
+                self.feed('fetched', effect.fetch_id, result)
+
+        self.fetches[effect.fetch_id] = deferred
+        deferred.addCallback(received)
+
+    def do_cancel(self, effect: effects.CancelFetch) -> None:
+        """Close the connection of a call: its endpoint sees that a little later."""
+        deferred = self.fetches.pop(effect.fetch_id, None)
+        if deferred is not None:
+            self.world.after(self.world.delay(), self.world.give_up, deferred)
 
     def do_log(self, effect: effects.Log) -> None:
         """Keep a log line."""
@@ -285,6 +306,7 @@
     effects.Send: Node.do_send,
     effects.HttpResponse: Node.do_response,
     effects.HttpFetch: Node.do_fetch,
+    effects.CancelFetch: Node.do_cancel,
     effects.CloseConnections: Node.do_nothing,
     effects.Log: Node.do_log,
     effects.NotifyDurable: Node.do_done,
--- a/zinctrail/simulation/open_actors/world.py
+++ b/zinctrail/simulation/open_actors/world.py
@@ -7,6 +7,7 @@
 
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
+import zinctrail.simulation.network as network
 import zinctrail.simulation.node as simulated_node
 import zinctrail.simulation.open_actors.notes as open_notes
 import zinctrail.simulation.open_actors.terms as terms
@@ -73,7 +74,7 @@
         if is_kept and self.is_cut(caller, endpoint.name):
             deferred: defer.Deferred = defer.Deferred()
             # It counts as sent: the connection was there, and nobody can say what became of the bytes.
-            self.after(min(effect.wait, self.SILENT), deferred.callback, effects.HttpResult(fault='silent'))
+            self.after(min(effect.wait, self.SILENT), network.settle, deferred, effects.HttpResult(fault='silent'))
             return deferred
         if is_kept and endpoint.idle_limit is not None and self.now - connection[2] > endpoint.idle_limit:
             return self.reset_by_endpoint(caller, effect, endpoint)
@@ -98,7 +99,7 @@
         deferred: defer.Deferred = defer.Deferred()
         # Sent, since the bytes went out: a reset does not tell whether they were read.
         lost = effects.HttpResult(fault='connection lost')
-        self.after(self.delay(caller, endpoint.name), deferred.callback, lost)
+        self.after(self.delay(caller, endpoint.name), network.settle, deferred, lost)
         return deferred
 
     def reset(self, node: simulated_node.Node, share: float) -> None:
--- a/zinctrail/simulation/open_checks.py
+++ b/zinctrail/simulation/open_checks.py
@@ -10,7 +10,7 @@
 
 ALL = registry.OPEN
 # Checkers of what is known not to hold yet (KNOWN-RED.txt): they run only where they are asked for by name.
-UNMET = ('gone', 'led_away')
+UNMET = ('led_away',)
 
 
 def run(deployment: open_deployment.Deployment, only: str | None = None) -> list[str]:
--- a/zinctrail/transport/endpoint_client.py
+++ b/zinctrail/transport/endpoint_client.py
@@ -281,6 +281,8 @@
     ) -> defer.Deferred[effects.HttpResult]:
         """Send a request; the Deferred gives an effects.HttpResult and never fails.
 
+        Cancelling the Deferred gives up the attempt to connect, or closes the connection.
+
         :param is_own_response: given the headers of a response, False if it belongs to another request.
         """
         connection = self.take_idle(incarnation, at_most_once)
@@ -373,7 +375,8 @@
         assert reason.type is not None
         unsent = reason.check(newclient.RequestNotSent, network_error.ConnectError)
         causes = [cause.type for cause in getattr(reason.value, 'reasons', ())]
-        ends = (network_error.ConnectionClosed, network_error.ConnectionAborted, OSError)
+        # We end the connection of a request that is cancelled, which says nothing of its endpoint.
+        ends = (network_error.ConnectionClosed, network_error.ConnectionAborted, OSError, defer.CancelledError)
         if any(not issubclass(cause, ends) for cause in causes):
             connection.distrust_endpoint()
         return effects.HttpResult(sent=not unsent, fault=reason.type.__name__)
--- a/zinctrail/transport/host.py
+++ b/zinctrail/transport/host.py
@@ -6,6 +6,7 @@
 import resource
 import typing
 
+import twisted.internet.defer as defer
 import twisted.internet.task as task
 from absl import logging
 
@@ -109,6 +110,8 @@
         self.api = web.ApiResource(self)
         self.http_client = http_client.HttpClient(reactor, verifies=True)
         self.endpoint_client = endpoint_client.EndpointClient(reactor)
+        # Calls to endpoints that have no result yet, by the id of their fetch.
+        self.fetches: dict[int, defer.Deferred[effects.HttpResult]] = {}
         # Inputs that wait for their turn: (kind, arguments).
         self.inputs: collections.deque[tuple[str, tuple]] = collections.deque()
         self.is_feeding = False
@@ -283,10 +286,26 @@
         if effect.plain:
             self.fetch_plain(effect)
             return
-        result = self.http_client.fetch(
+        call = self.http_client.fetch(
             effect.incarnation, effect.address, effect.method, effect.path, effect.headers, effect.body, effect.wait
         )
-        result.addCallback(lambda result: self.feed('fetched', effect.fetch_id, result))
+        self.await_result(effect.fetch_id, call)
+
+    def await_result(self, fetch_id: int, call: defer.Deferred[effects.HttpResult]) -> None:
+        """Feed the result of a call, unless it is cancelled before."""
+
+        def received(result: effects.HttpResult) -> None:
+            if self.fetches.pop(fetch_id, None) is not None:
+                self.feed('fetched', fetch_id, result)
+
+        self.fetches[fetch_id] = call
+        call.addCallback(received)
+
+    def cancel_fetch(self, effect: effects.CancelFetch) -> None:
+        """Close the connection of a call that nobody waits for; its result is not fed."""
+        call = self.fetches.pop(effect.fetch_id, None)
+        if call is not None:
+            call.cancel()
 
     def fetch_plain(self, effect: effects.HttpFetch) -> None:
         """Send a request or a health check to an endpoint that links no library of ours."""
@@ -295,15 +314,15 @@
         is_request = request_id is not None
         translate = self.dialect.endpoint_response_in if is_request else self.dialect.health_response_in
 
-        def received(result: effects.HttpResult) -> None:
+        def translated(result: effects.HttpResult) -> effects.HttpResult:
             result.headers = translate(result.headers)
-            self.feed('fetched', effect.fetch_id, result)
+            return result
 
         def is_own_response(headers: dict[str, str]) -> bool:
             # A response that names no request is not a late one to another request but a faulty one to this request.
             return self.dialect.endpoint_response_in(headers).get('zt-id') in (None, request_id)
 
-        self.endpoint_client.fetch(
+        call = self.endpoint_client.fetch(
             effect.incarnation,
             effect.address,
             effect.method,
@@ -313,7 +332,8 @@
             effect.wait,
             effect.at_most_once,
             is_own_response,
-        ).addCallback(received)
+        )
+        self.await_result(effect.fetch_id, call.addCallback(translated))
 
     def limit(self, limits: effects.Limits) -> None:
         """Apply the limits of open traffic."""
@@ -350,6 +370,7 @@
     effects.Send: lambda host, effect: host.peers.send(effect.address, effect.frame, effect.packs),
     effects.HttpResponse: Host.respond,
     effects.HttpFetch: Host.fetch,
+    effects.CancelFetch: Host.cancel_fetch,
     effects.CloseConnections: Host.close_endpoint,
     effects.Limits: Host.limit,
     effects.DrainOpenTraffic: Host.leave,
--- a/zinctrail/transport/http_client.py
+++ b/zinctrail/transport/http_client.py
@@ -169,7 +169,7 @@
         body: bytes,
         timeout: datetime.timedelta,
     ) -> defer.Deferred[effects.HttpResult]:
-        """Send a request; the Deferred gives an effects.HttpResult and never fails."""
+        """Send a request; the Deferred gives an effects.HttpResult and never fails. Cancelled, it ends the connection."""
         # A liveness check asks for the identity itself, so its connection needs no verification.
         key = LIVE_PATH if path == LIVE_PATH else key
         raw_headers = http_headers.Headers({name: [value] for name, value in headers.items()})
