--- a/features/client_disconnects.feature
+++ b/features/client_disconnects.feature
@@ -61,6 +61,26 @@
     When e0 is silent, e1 takes 100 ms, and 30 callers come 600 ms apart, who go away after 550 ms
     Then e0 has been sent less than a third of them
 
+  Scenario Outline: A client that links our library goes away while its request is <state>, which may run <times>
+    Given a proxy with a lease, whose rule says <times>
+    When a client's request is <state>, and the client goes away
+    Then <cancelled> of its calls are cancelled, and the proxy holds <held> request of it
+    When credit comes for all that waits
+    Then it was sent <sends> times to endpoints
+    Examples:
+      | state               | times | cancelled | held | sends |
+      | waiting for credit  | often | 0         | 0    | 0     |
+      | at an endpoint      | often | 1         | 0    | 1     |
+      | waiting for credit  | once  | 0         | 1    | 1     |
+      | at an endpoint      | once  | 0         | 1    | 1     |
+
+  Scenario: The work behind a cancelled call of a client's request counts as credit in use for a while
+    Given a proxy with a lease, whose rule says often
+    When a client's request is at an endpoint, and the client goes away
+    Then its slot is reserved, and given back after its time
+    When the result of the client's cancelled call comes
+    Then nothing of it is answered
+
   Scenario Outline: A cancelled request ends its connection, and says nothing against its endpoint: <when>
     Given an endpoint that answers with a whole answer, but first as far as <part>
     When a request to it is cancelled <when>
--- a/features/steps/client_disconnect_steps.py
+++ b/features/steps/client_disconnect_steps.py
@@ -8,6 +8,7 @@
 import twisted.internet.task as task
 import twisted.python.log as twisted_log
 
+import features.support.following_proxy as following_proxy
 import features.support.open_traffic_proxy as open_traffic_proxy
 import features.support.raw_server as raw_server
 import features.support.reactor_thread as reactor_thread
@@ -203,6 +204,68 @@
     assert 0 < sent.count('e0') < len(sent) / 3, (sent.count('e0'), len(sent))
 
 
+# -- clients that link our library -----------------------------------------------
+
+REQUEST_ID = f'{following_proxy.EPOCH}.a'
+
+
+@behave.given('a proxy with a lease, whose rule says {times}')
+def proxy_with_client_rule(context, times: str):
+    context.proxy = following_proxy.FollowingProxy(runs_once=times == 'once')
+    context.times = times
+
+
+@behave.when("a client's request is {state}, and the client goes away")
+def library_client_goes_away(context, state: str):
+    proxy = context.proxy
+    context.call = proxy.request(REQUEST_ID)
+    if context.times == 'once':
+        proxy.answer_claim(got='claimed')
+    proxy.pass_time(100)
+    if state == 'at an endpoint':
+        proxy.grant_credit()
+    assert len(proxy.fetches) == (1 if state == 'at an endpoint' else 0)
+    context.at_disconnect = proxy.feed('hung_up', context.call)
+
+
+@behave.then('{count:d} of its calls are cancelled, and the proxy holds {held:d} request of it')
+def library_calls_are_cancelled(context, count: int, held: int):
+    cancelled_ids = [effect.fetch_id for effect in context.at_disconnect if isinstance(effect, effects.CancelFetch)]
+    assert cancelled_ids == [fetch.fetch_id for fetch in context.proxy.fetches][:count], cancelled_ids
+    machine = context.proxy.machine
+    assert len(machine.runner.requests) == held
+    assert len(machine.credit.pool_credit(following_proxy.POOL).queue) == (held and not context.proxy.fetches)
+
+
+@behave.when('credit comes for all that waits')
+def credit_for_all(context):
+    context.proxy.grant_credit()
+
+
+@behave.then('it was sent {times:d} times to endpoints')
+def sent_to_endpoints(context, times: int):
+    assert len(context.proxy.fetches) == times, context.proxy.fetches
+
+
+@behave.then('its slot is reserved, and given back after its time')
+def slot_is_reserved(context):
+    pool = context.proxy.machine.credit.pool_credit(following_proxy.POOL)
+    assert pool.in_use == {following_proxy.INCARNATION: 1}, pool.in_use
+    context.proxy.pass_time(3000)
+    assert not pool.in_use, pool.in_use
+
+
+@behave.when("the result of the client's cancelled call comes")
+def library_result_comes_late(context):
+    context.proxy.feed('fetched', context.proxy.fetches[0].fetch_id, effects.HttpResult(200, {}, b'{}'))
+
+
+@behave.then('nothing of it is answered')
+def nothing_is_answered(context):
+    assert context.call not in context.proxy.answered
+    assert not context.proxy.machine.upstream.fetches
+
+
 # -- real connections ------------------------------------------------------------
 
 TIMEOUT = ms(10000)
--- a/features/support/following_proxy.py
+++ b/features/support/following_proxy.py
@@ -28,13 +28,13 @@
 }
 
 
-def tables() -> dict[str, dict]:
-    """The state that the proxy follows; p is another proxy."""
+def tables(runs_once: bool = True) -> dict[str, dict]:
+    """The state that the proxy follows; p is another proxy. One rule leads to the pool, for what may run once or often."""
     far = dict(ENDPOINT, addr='10.0.9.2:80', cell='r1/c0')
     members = {'b': machine_host.member_row('b'), 'p': dict(machine_host.member_row('p'), role='prox')}
     return {
         'meta': {'cluster': machine_host.CLUSTER, 'epoch': EPOCH, 'routes': list(VERSION)},
-        'conf': {f'pools/{POOL}': {'service': POOL}, 'rules/all': {'match': {}, 'pool': POOL}},
+        'conf': {f'pools/{POOL}': {'service': POOL}, 'rules/all': {'match': {}, 'pool': POOL, 'run_once': runs_once}},
         'cells': {'r0/c0': {'region': 'r0'}, 'r1/c0': {'region': 'r1'}},
         'endpoints': {INCARNATION: ENDPOINT, FAR_INCARNATION: far},
         'members': members,
@@ -45,7 +45,7 @@
 class FollowingProxy(machine_host.MachineHost):
     """The proxy, and all that it has sent and answered."""
 
-    def __init__(self):
+    def __init__(self, runs_once: bool = True):
         location = machine_host.location_of('a')
         super().__init__(proxy_node.Proxy(location, settings.Settings(), random.Random(1)))
         self.sends: list[effects.Send] = []
@@ -58,7 +58,7 @@
         self.round = 0
         self.feed('start')
         self.renew_lease()
-        self.recv('b', 'pub', term=3, at=VERSION, full=tables(), http='')
+        self.recv('b', 'pub', term=3, at=VERSION, full=tables(runs_once), http='')
         self.recv('b', 'com', term=3, at=VERSION, http='')
         assert self.machine.leased()
 
--- a/zinctrail/proxy/client_disconnects.py
+++ b/zinctrail/proxy/client_disconnects.py
@@ -3,7 +3,9 @@
 A request that may be repeated is of use to nobody any more: what waits is
 dropped, and what is at an endpoint is cancelled. One that may run at most once
 runs on where it was sent, since an endpoint that is broken off in the middle
-may have done half of it; it is not sent again.
+may have done half of it. Of open traffic it is not sent again; of a client that
+links our library it goes on as if its caller were there, since the next attempt
+with its id is given its result.
 """
 
 import datetime
@@ -25,10 +27,14 @@
     def disconnected(self, call_id: typing.Any) -> None:
         """A caller has gone; its request may be answered already."""
         request = self.proxy.runner.requests.get(call_id)
-        if request is None or not request.is_open_traffic:
+        if request is None:
             return
-        in_flight = sorted(request.in_flight.values())
-        fate = self.end_open_request(request)
+        if request.is_open_traffic:
+            in_flight = sorted(request.in_flight.values())
+            fate = self.end_open_request(request)
+        else:
+            in_flight = [request.incarnation] if request.fetch_id in self.proxy.upstream.fetches else []
+            fate = self.end_client_request(request)
         self.observe(request, in_flight, fate)
 
     def end_open_request(self, request: Request) -> str:
@@ -42,6 +48,16 @@
         self.proxy.open_upstream.cancel(request)
         return CANCELLED if is_at_endpoint else DROPPED
 
+    def end_client_request(self, request: Request) -> str:
+        """Drop or cancel a client's request, or let it run on; says which."""
+        if request.at_most_once:
+            return RUNS_ON
+        is_at_endpoint = request.fetch_id in self.proxy.upstream.fetches
+        self.proxy.runner.remove(request)
+        self.proxy.credit.leave_queue(request)
+        self.proxy.upstream.cancel(request)
+        return CANCELLED if is_at_endpoint else DROPPED
+
     def observe(self, request: Request, in_flight: list[str], fate: str) -> None:
         """Count a disconnect, and log a few of them each second."""
         self.proxy.counts[f'disconnects_{fate}'] += 1
--- a/zinctrail/proxy/credit.py
+++ b/zinctrail/proxy/credit.py
@@ -176,6 +176,12 @@
         self.pool_credit(request.pool).queue.append(request)
         self.request_credit(request.pool, REQUEST_INTERVAL)
 
+    def leave_queue(self, request: Request) -> None:
+        """A request waits for credit no more, if it did: others must not be refused for its place in the queue."""
+        if request.waiting_for is request_record.Waiting.CREDIT:
+            pool = self.pool_credit(request.pool)
+            pool.queue = collections.deque(queued for queued in pool.queue if queued is not request)
+
     def retry_queued(self, name: str) -> None:
         """Go through a pool's queue, oldest first: send, leave in the queue, or refuse."""
         pool = self.pool_credit(name)
--- a/zinctrail/proxy/upstream.py
+++ b/zinctrail/proxy/upstream.py
@@ -116,6 +116,16 @@
             self.keep_late_result(request, result)
         self.proxy.credit.retry_queued(fetch.pool)
 
+    def cancel(self, request: Request) -> None:
+        """Give up what a request still has at an endpoint; nobody waits for it."""
+        fetch = self.fetches.pop(request.fetch_id, None)
+        if fetch is None:
+            return
+        self.proxy.out.append(effects.CancelFetch(request.fetch_id))
+        # As if its response were lost: the endpoint may work on for a while.
+        self.free_slot(fetch, effects.HttpResult(fault='cancelled'))
+        self.proxy.credit.retry_queued(fetch.pool)
+
     def free_slot(self, fetch: Fetch, result: effects.HttpResult) -> None:
         """Give the credit back; later where the response was lost, because that does not end the work behind it."""
         pool = self.proxy.credit.pool_credit(fetch.pool)
