Lookups of library clients name proxies of other regions only for those that are lacking

The same cause as HOME on the other path: find_proxies named the three nearest, and the client library turns to all it is named in turn, so that with two proxies in a region a third of its requests left it, with one two thirds.

--- a/features/proxy_lookup.feature
+++ b/features/proxy_lookup.feature
@@ -51,6 +51,18 @@
     When the proxies of three regions become known one after another, in 50 orders
     Then no answer for h01 in r0 or r1 names r2 once any of r0 or r1 is known
 
+  Scenario Outline: A client that links our library is named proxies of other regions for those that are lacking: <away> away
+    Given a directory with three regions of three proxies
+    When proxies <away> leave, and a library's client in r0/a asks for <most> proxies
+    Then each answer names <near>, and <spares> of <regions>
+    Examples:
+      | away           | most | near           | spares | regions |
+      | none           | 3    | r0a1 r0a2 r0b1 | 0      | none    |
+      | none           | 8    | r0a1 r0a2 r0b1 | 0      | none    |
+      | r0a1           | 3    | r0a2 r0b1      | 0      | none    |
+      | r0a1 r0a2      | 3    | r0b1           | 1      | r1 r2   |
+      | r0a1 r0a2 r0b1 | 3    | none           | 2      | r1 r2   |
+
   Scenario Outline: Bad input to a lookup is told: <body>
     Given a directory with three regions of three proxies
     Then a lookup with <body> is refused with 400
--- a/features/steps/proxy_lookup_steps.py
+++ b/features/steps/proxy_lookup_steps.py
@@ -10,6 +10,7 @@
 
 LARGE = 'r0'
 ORDERS = 50
+ANSWERS = 100
 
 
 @behave.given('a directory with three regions of three proxies')
@@ -28,6 +29,18 @@
     context.answers = context.directory.answers(zone, host)
 
 
+@behave.when("proxies {away} leave, and a library's client in {zone} asks for {most:d} proxies")
+def library_client_asks(context, away: str, zone: str, most: int):
+    context.directory.leave(names_in(away))
+    context.answers = [
+        [
+            address.partition(':')[0]
+            for address in context.directory.proxy_lookup.find_proxies([], zone, most)['proxies']
+        ]
+        for _ in range(ANSWERS)
+    ]
+
+
 @behave.then('each answer names {near}, and {spares:d} of {regions}')
 def answers_name(context, near: str, spares: int, regions: str):
     own = sorted(names_in(near))
--- a/zinctrail/control/proxy_lookup.py
+++ b/zinctrail/control/proxy_lookup.py
@@ -26,6 +26,8 @@
 PROXIES_MOST = 64
 # How many other directories an answer names.
 DIRECTORIES_MOST = 3
+# How far a proxy is from a client.
+IN_ZONE, IN_REGION, ELSEWHERE = range(3)
 RETRY_WITHOUT_LEASE_MS = 300
 RETRY_WITHOUT_PROXY_MS = 1000
 
@@ -92,13 +94,16 @@
         )
 
     def find_proxies(self, home: list[str], zone: str, most: int) -> replies.Result:
-        """The nearest proxies to a zone; raises CallError 503 without any."""
+        """The nearest proxies to a zone; raises CallError 503 without any.
+
+        Those of other regions only in the place of near ones that are lacking, since clients turn to all in equal parts.
+        """
         region = self.member.routes.region_of(zone)
 
         def distance(member: rows.MemberRow) -> int:
             if member['cell'] == zone:
-                return 0
-            return 1 if self.member.routes.region_of(member['cell']) == region else 2
+                return IN_ZONE
+            return IN_REGION if self.member.routes.region_of(member['cell']) == region else ELSEWHERE
 
         proxies = [
             member
@@ -110,8 +115,9 @@
         # Shuffled within a distance: the clients of a zone must not all turn to one proxy.
         self.member.rng.shuffle(proxies)
         proxies.sort(key=distance)
+        near = sum(distance(member) < ELSEWHERE for member in proxies)
         return replies.ok(
-            proxies=[member['http'] for member in proxies[:most]],
+            proxies=[member['http'] for member in proxies[: min(most, max(near, front_choice.FRONTS_LEAST))]],
             ttl_ms=self._time_to_live_ms(),
             epoch=self.member.replica.get('meta', 'epoch') or 0,
             generation=self.member.replica.committed[1],
