--- a/zinctrail/proxy/open_upstream.py
+++ b/zinctrail/proxy/open_upstream.py
@@ -97,6 +97,8 @@
 
     def cancel(self, request: Request) -> None:
         """Give up what a request still has at endpoints; nobody waits for it."""
+        if not request.in_flight:
+            return
         proxy = self.proxy
         for fetch_id, incarnation in request.in_flight.items():
             fetch = self.fetches.pop(fetch_id)
