Controller: starts while its disk refuses writes, and comes in once they reach it

Now what may pass (no space, quota, device error) is left to the state machine, which neither votes nor leads until a write reaches the disk; the lock is taken on the folder too, as a full disk takes no lock file. A read-only folder and one that another process has still end it.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -1,5 +1,28 @@
 Feature: The edge: real files, sockets and the host, where things go wrong
 
+  Scenario Outline: A program starts on a folder whose disk refuses writes for now, and writes once it can: <refusal>
+    Given a data folder that holds term 1
+    When a control node starts on it while <refusal>
+    Then it has the identity and the term that the folder holds, and says that its disk can not be written
+    When the disk takes writes again, and a second goes by
+    Then it says that its disk can be written again, and the folder loads as before
+    Examples:
+      | refusal                                |
+      | the disk is full                       |
+      | the quota is used up                   |
+      | the device has errors                  |
+      | the disk is full and has no lock file  |
+
+  Scenario Outline: A folder that can not be used is told, and ends the program: <refusal>
+    Given a data folder that holds term 1
+    When a program starts on it while <refusal>
+    Then it is told that the folder can not be used
+    Examples:
+      | refusal                           |
+      | the folder is read-only           |
+      | another process has it            |
+      | another process has it that started on a full disk |
+
   Scenario Outline: A write that does not reach the disk is never taken for written
     Given a data folder that holds term 1
     When term 2 is written and <what> fails once
--- a/features/steps/edge_disk_steps.py
+++ b/features/steps/edge_disk_steps.py
@@ -1,5 +1,7 @@
 """Steps of edge.feature: writes that fail, the files of a data folder, and handlers that break."""
 
+import builtins
+import contextlib
 import errno
 import itertools
 import os
@@ -12,8 +14,10 @@
 import twisted.internet.task as task
 
 import zinctrail.consensus.node_location as node_location
+import zinctrail.consensus.persistence as persistence
 import zinctrail.consensus.storage as storage
 import zinctrail.control.controller as controller
+import zinctrail.errors as errors
 import zinctrail.runtime.effects as effects
 import zinctrail.runtime.settings as settings
 import zinctrail.runtime.state_machine as state_machine
@@ -208,3 +212,106 @@
 def only_machine_with_disk_ends(context):
     ends = [(machine_host.has_ended, machine_host.exit_code) for machine_host in context.hosts]
     assert ends == [(True, 70), (False, 0)], ends
+
+
+# -- a start while the disk refuses writes ----------------------------------------
+
+
+def refusing(error_number: int, has_lock_file: bool = True):
+    """A patch by which nothing can be opened for writing or written, but the lock file, where there is one."""
+    real_open = os.open
+
+    def refuse_open(path, flags, *rest, **options):
+        is_lock = has_lock_file and str(path).endswith('/lock')
+        if flags & (os.O_WRONLY | os.O_RDWR) and not is_lock:
+            raise OSError(error_number, os.strerror(error_number))
+        return real_open(path, flags, *rest, **options)
+
+    def refuse_write(descriptor, data):
+        raise OSError(error_number, os.strerror(error_number))
+
+    def refuse_file(path, mode='r', **options):
+        if mode != 'r':
+            raise OSError(error_number, os.strerror(error_number))
+        return builtins.open(path, mode, **options)
+
+    patches = contextlib.ExitStack()
+    patches.enter_context(mock.patch.object(os, 'open', refuse_open))
+    patches.enter_context(mock.patch.object(os, 'write', refuse_write))
+    patches.enter_context(mock.patch.object(disk, 'open', refuse_file, create=True))
+    return patches
+
+
+REFUSALS = {
+    'the disk is full': lambda: refusing(errno.ENOSPC),
+    'the quota is used up': lambda: refusing(errno.EDQUOT),
+    'the device has errors': lambda: refusing(errno.EIO),
+    'the disk is full and has no lock file': lambda: refusing(errno.ENOSPC, has_lock_file=False),
+    'the folder is read-only': lambda: refusing(errno.EROFS),
+}
+
+
+def start_control_node(context) -> None:
+    """Start a control node on the folder, with a host whose time stands still."""
+    context.disk = disk.Disk(context.folder)
+    context.node = controller.Controller(LOCATION, settings.Settings(), random.Random(2), context.disk.load())
+    context.host = host_of(context.node, context.disk)
+    context.clock = context.host.reactor
+    context.lines = []
+    context.node.log = lambda text, event='', **fields: context.lines.append(text)
+    context.host.feed('start')
+
+
+@behave.when('a control node starts on it while {refusal}')
+def control_node_starts(context, refusal: str):
+    context.disk.write('node', storage.encode({'id': 'before', 'format': storage.FORMAT}))
+    context.before = context.disk.load()
+    context.disk.lock.close()
+    if 'no lock file' in refusal:
+        os.remove(os.path.join(context.folder, 'lock'))
+    context.refusal = REFUSALS[refusal]()
+    start_control_node(context)
+
+
+@behave.then('it has the identity and the term that the folder holds, and says that its disk can not be written')
+def node_has_what_folder_holds(context):
+    assert (context.node.node, context.node.term) == ('before', 1), (context.node.node, context.node.term)
+    assert context.node.disk_failed and any('can not be written' in line for line in context.lines), context.lines
+
+
+@behave.when('the disk takes writes again, and a second goes by')
+def disk_takes_writes(context):
+    context.refusal.close()
+    later = context.node.now + persistence.DISK_RETRY
+    with mock.patch.object(context.host, 'now', lambda: later):
+        context.host.feed('wake')
+
+
+@behave.then('it says that its disk can be written again, and the folder loads as before')
+def disk_is_written_again(context):
+    assert not context.node.disk_failed and 'Disk can be written again.' in context.lines, context.lines
+    after = context.disk.load()
+    assert {name: after[name] for name in ('node', 'term')} == context.before, after
+
+
+@behave.when('a program starts on it while {refusal}')
+def program_starts(context, refusal: str):
+    if 'full disk' in refusal:
+        context.disk.lock.close()
+        os.remove(os.path.join(context.folder, 'lock'))
+        with refusing(errno.ENOSPC, has_lock_file=False):
+            context.disk = disk.Disk(context.folder)
+    elif refusal in REFUSALS:
+        context.disk.lock.close()
+    with REFUSALS.get(refusal, contextlib.nullcontext)():
+        try:
+            disk.Disk(context.folder)
+        except errors.DiskError as error:
+            context.fault = str(error)
+            return
+    raise AssertionError('it started')
+
+
+@behave.then('it is told that the folder can not be used')
+def folder_fault_is_told(context):
+    assert 'can not be used' in context.fault, context.fault
--- a/zinctrail/transport/disk.py
+++ b/zinctrail/transport/disk.py
@@ -6,10 +6,12 @@
 
 import collections
 import contextlib
+import errno
 import fcntl
 import os
 import time
 import typing
+import weakref
 
 import zinctrail.errors as errors
 import zinctrail.runtime.effects as effects
@@ -20,6 +22,35 @@
 # The file without which nothing else in the folder counts (consensus/storage.py).
 IDENTITY = 'node'
 FILE_MODE = 0o644
+# Refusals of a write that may pass by themselves: no space, no quota left, an error of the device.
+PASSING_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
+
+
+class FolderLock:
+    """The lock of a folder, held until it is closed or the process ends: two on one folder would vote twice.
+
+    By a file, as earlier releases do, and by the folder itself, as a full disk takes no new file.
+    """
+
+    def __init__(self, folder: str):
+        """Take the lock; raises OSError where another process has it."""
+        self.descriptors: list[int] = []
+        # A descriptor that is lost would hold the lock for ever.
+        self.close = weakref.finalize(self, close_all, self.descriptors)
+        self.descriptors.append(os.open(folder, os.O_RDONLY))
+        try:
+            self.descriptors.append(os.open(os.path.join(folder, 'lock'), os.O_RDWR | os.O_CREAT, FILE_MODE))
+        except OSError as error:
+            if error.errno not in PASSING_ERRORS:
+                raise
+        for descriptor in self.descriptors:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+
+def close_all(descriptors: list[int]) -> None:
+    """Close descriptors."""
+    for descriptor in descriptors:
+        os.close(descriptor)
 
 
 class Disk:
@@ -28,6 +59,9 @@
     def __init__(self, folder: str):
         """Create the folder where it is missing, lock it, and check that it is writable.
 
+        A disk that refuses writes for a reason that may pass is accepted: the state machine that writes to it waits
+        until they reach it (consensus/persistence.py), as it does where that happens later.
+
         :raises zinctrail.errors.DiskError: the folder can't be used, or another process has it.
         """
         self.folder = folder
@@ -41,14 +75,8 @@
         self.part_fd: int | None = None
         try:
             make_durable_folder(folder)
-            # Open for as long as the process lives: the lock goes with its descriptor.
-            self.lock = open(os.path.join(folder, 'lock'), 'w')  # noqa: SIM115
-            # Two processes on one folder would vote twice from one memory.
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            probe = os.path.join(folder, 'probe.tmp')
-            with open(probe, 'w') as file:
-                file.write('writable')
-            os.remove(probe)
+            self.lock = FolderLock(folder)
+            probe(folder)
         except OSError as error:
             raise errors.DiskError(f'data folder {folder} can not be used: {error.strerror or error}') from error
 
@@ -202,6 +230,18 @@
             pass
 
 
+def probe(folder: str) -> None:
+    """Check that files can be written to a folder, or could be but for a reason that may pass; raises OSError."""
+    path = os.path.join(folder, 'probe.tmp')
+    try:
+        with open(path, 'w') as file:
+            file.write('writable')
+        os.remove(path)
+    except OSError as error:
+        if error.errno not in PASSING_ERRORS:
+            raise
+
+
 def write_all(descriptor: int, data: bytes) -> None:
     """Write all of `data`, also where the system takes only some bytes at a time."""
     while data:
