--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -38,6 +38,7 @@
   endpoint               an endpoint that misbehaves as it is told
   deployment             processes of the adapter, with an operator
   deployment_client      clients and the operator of the deployment of platform_chain.feature
+  soak                   real processes under disturbances that overlap (a package)
   local_process          free ports for a process, and a bound on its time
   metrics_text           metrics as a collector reads them
   command_line           zinctrailctl as operators run it
--- /dev/null
+++ b/features/support/soak/keepers.py
@@ -0,0 +1,71 @@
+"""Processes of the adapter in a soak: started again a moment after each end, and killed once their grace is over."""
+
+import asyncio
+import random
+import signal
+
+import features.support.deployment as deployment
+import features.support.deployment_client as deployment_client
+import features.support.soak.notes as soak_notes
+
+POLL_S = 0.02
+RESTART_S = (0.1, 0.6)
+
+
+class Keeper:
+    """Keeps one process running."""
+
+    def __init__(self, soak, process: deployment.AdapterProcess) -> None:
+        self.soak, self.process = soak, process
+        self.rng = random.Random(f'{soak.seed}/{process.name}')
+        self.starts = 0
+        # The signal that should end it, and when that was sent.
+        self.ended_by: int | None = None
+        self.told_at = 0.0
+
+    def start(self) -> None:
+        """Start the process."""
+        self.starts += 1
+        self.ended_by = None
+        self.soak.starts[self.process.name].append(soak_notes.now())
+        self.process.start()
+
+    def signal(self, number: int) -> None:
+        """Send a signal, and note it."""
+        if self.process.process is None or self.process.process.poll() is not None:
+            return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            # A SIGKILL ends a process that was told to end before, too.
+            self.told_at = (
+                self.told_at if self.ended_by == signal.SIGTERM and number == signal.SIGTERM else soak_notes.now()
+            )
+            self.ended_by = number
+        self.soak.notes.signals.append(
+            soak_notes.Signal(self.process.name, self.process.front, number, soak_notes.now())
+        )
+        self.process.signal(number)
+
+    async def keep(self) -> None:
+        """Watch the process until the soak is over; start it again after each end."""
+        grace_s = self.process.settings['bounds']['grace_period_s']
+        while not self.soak.is_over:
+            await asyncio.sleep(POLL_S)
+            assert self.process.process is not None
+            code = self.process.process.poll()
+            if code is not None:
+                await self.restart(code)
+            elif self.ended_by == signal.SIGTERM:
+                overdue_s = soak_notes.now() - self.told_at - grace_s * deployment_client.contention()
+                if overdue_s > 0:
+                    self.soak.notes.faults.append(f'{self.process.name} did not end within its grace')
+                    self.signal(signal.SIGKILL)
+
+    async def restart(self, code: int) -> None:
+        """Note an end, and start the process again."""
+        self.soak.notes.ends.append(
+            soak_notes.End(self.process.name, code, soak_notes.now(), self.ended_by, self.told_at)
+        )
+        await asyncio.sleep(self.rng.uniform(*RESTART_S))
+        self.process.settings['first_start'] = False
+        if not self.soak.is_over:
+            self.start()
--- a/zinctrail/transport/program.py
+++ b/zinctrail/transport/program.py
@@ -26,6 +26,8 @@
 FLAGS = absl.flags.FLAGS
 # The exit code of wrong usage.
 USAGE = 2
+# The signals that a program handles.
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # How often a changed command line is asked for, without a SIGHUP.
 RELOAD_INTERVAL_S = 2.0
 
@@ -250,4 +252,7 @@
         host.repeat(settings_reload.check, RELOAD_INTERVAL_S)
     reactor: twisted_types.Reactor = twisted.internet.reactor
     reactor.run(installSignalHandlers=False)
+    # All is done. The interpreter takes our handlers away as it ends, and a signal that comes again would end it otherwise.
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     sys.exit(node.exit_code)
