--- a/features/steps/open_days_steps.py
+++ b/features/steps/open_days_steps.py
@@ -180,7 +180,7 @@
     'drain marks': lambda: off(routing_table.RoutingTable, 'is_usable', any_state),
     'finishing before the end': lambda: off(proxy_node.Proxy, 'timer_drain', at_once),
     'cancelling': lambda: off(open_upstream.OpenUpstream, 'cancel', lambda self, request: None),
-    'homes of lookups': lambda: off(routing_table.RoutingTable, 'home_regions_of_host', lambda self, host: frozenset()),
+    'homes of lookups': lambda: off(routing_table.RoutingTable, 'homes_of_host', lambda self, host: frozenset()),
     'patience': lambda: off(open_queue.OpenQueue, 'add', never_given_up),
     'the repeat bound': lambda: off(retry_budget.RetryBudget, 'allows', lambda self, now, proxies: True),
     'turns at the cold': lambda: off(slow_start.SlowStart, 'is_throttled', lambda self, incarnation, row: False),
--- a/zinctrail/control/front_choice.py
+++ b/zinctrail/control/front_choice.py
@@ -31,11 +31,11 @@
 
 
 def choose(
-    fronts: routing_table.FrontsByDistance, home_regions: frozenset[str], most: int, rng: random.Random
+    fronts: routing_table.FrontsByDistance, homes: frozenset[str], most: int, rng: random.Random
 ) -> ChosenFronts:
     """Choose up to `most` fronts for a client.
 
-    :param home_regions: the regions that its requests may be led to outside its own; empty: any.
+    :param homes: the regions that its requests may be led to outside its own; empty: any.
     """
     in_own_region = len(fronts.in_zone) + len(fronts.in_region)
     lacking = max(0, enough_for_region(fronts) - in_own_region)
@@ -44,7 +44,7 @@
     in_region = sample(fronts.in_region, most - len(in_zone), rng) if needs_region else []
     count = min(lacking, most - len(in_zone) - len(in_region))
     # Gone through only where some are lacking, which is seldom.
-    elsewhere = sample(spares(fronts, home_regions, in_own_region), count, rng) if count else []
+    elsewhere = sample(spares(fronts, homes, in_own_region), count, rng) if count else []
     return ChosenFronts(in_zone, in_region, elsewhere)
 
 
@@ -55,16 +55,12 @@
     return max(FRONTS_LEAST, average // ENOUGH_DIVISOR)
 
 
-def spares(
-    fronts: routing_table.FrontsByDistance, home_regions: frozenset[str], in_own_region: int
-) -> typing.Sequence[str]:
+def spares(fronts: routing_table.FrontsByDistance, homes: frozenset[str], in_own_region: int) -> typing.Sequence[str]:
     """The proxies of other regions that may stand in."""
     everywhere = [front for fronts_there in fronts.elsewhere.values() for front in fronts_there]
-    if not home_regions:
+    if not homes:
         return everywhere
-    at_home = [
-        front for region, fronts_there in fronts.elsewhere.items() if region in home_regions for front in fronts_there
-    ]
+    at_home = [front for region, fronts_there in fronts.elsewhere.items() if region in homes for front in fronts_there]
     # With no proxy at all where the requests may go, any other still sends them on to endpoints at home.
     return at_home if at_home or in_own_region else everywhere
 
--- a/zinctrail/control/proxy_lookup.py
+++ b/zinctrail/control/proxy_lookup.py
@@ -134,8 +134,8 @@
     def find_fronts(self, zone: str, most: int, host: str = '') -> replies.Result:
         """The fronts for open traffic of a client in a zone, and for a host where one is named."""
         routes = self.member.routes
-        home_regions = routes.home_regions_of_host(routing_table.host_name(host))
-        chosen = front_choice.choose(routes.fronts(zone), home_regions, most, self.member.rng)
+        homes = routes.homes_of_host(routing_table.without_port(host))
+        chosen = front_choice.choose(routes.fronts(zone), homes, most, self.member.rng)
         addresses = chosen.addresses()
         if not addresses:
             raise errors.UnavailableError('no proxy may carry this now', retry_ms=RETRY_WITHOUT_PROXY_MS)
--- a/zinctrail/control/routing_table.py
+++ b/zinctrail/control/routing_table.py
@@ -39,7 +39,7 @@
     elsewhere: dict[str, tuple[str, ...]]
 
 
-def host_name(host: str) -> str:
+def without_port(host: str) -> str:
     """The name in a Host header, without its port."""
     return host.rsplit(':', 1)[0]
 
@@ -228,7 +228,7 @@
                 return row
         return None
 
-    def home_regions_of_host(self, host: str) -> frozenset[str]:
+    def homes_of_host(self, host: str) -> frozenset[str]:
         """The regions to which requests for a host may be led outside their client's own; empty: any."""
         return self._routes().homes_by_host.get(host.lower(), frozenset())
 
--- a/zinctrail/proxy/open_pipeline.py
+++ b/zinctrail/proxy/open_pipeline.py
@@ -68,7 +68,7 @@
 def match_route(proxy: proxy_part.ProxyNode, request: Request) -> bool:
     """Find the rule for its host and path; set the pool, the deadline and the latency target."""
     path = request.call.path.split('?', 1)[0]
-    rule = proxy.routes.rule_for_path(routing_table.host_name(request.call.headers.get('host', '')), path)
+    rule = proxy.routes.rule_for_path(routing_table.without_port(request.call.headers.get('host', '')), path)
     if rule is None:
         raise refusals.NoRoute
     request.open_rule, request.path, request.at_most_once = rule, request.call.path, rule['once']
