--- a/zinctrail/simulation/open_actors/deployment.py
+++ b/zinctrail/simulation/open_actors/deployment.py
@@ -68,7 +68,6 @@
                 name = f'{role}{number}'
                 cell = self.cell_number(number)
                 world.add(name, role, cell, front=role == 'prox', directory=role == 'core')
-                world.cells[name] = cell
         self.seeds = [world.nodes[f'core{i}'].location.addr for i in range(3)]
         for node in world.nodes.values():
             node.location.seeds = list(self.seeds)
--- a/zinctrail/simulation/open_actors/world.py
+++ b/zinctrail/simulation/open_actors/world.py
@@ -35,6 +35,11 @@
         # Cuts that are not healed, by their link.
         self.open_cuts: dict[tuple[str, str], open_notes.Cut] = {}
 
+    def add(self, name: str, role: str, cell: str, *args, **kwargs) -> simulated_node.Node:
+        """Add a node that is not started yet, and note its cell."""
+        self.cells[name] = cell
+        return super().add(name, role, cell, *args, **kwargs)
+
     def distance(self, source: str, target: str) -> datetime.timedelta:
         """What the way takes longer between zones and between regions."""
         here = self.cells.get(source)
