Soak: endpoints on a network of their own, closed at the end

Cause: a soak by hand ended with EADDRINUSE at 127.x.250.2:8080. Endpoints were not closed when a soak ended, and their addresses shared the second byte with those of any other soak.

Change: a network drawn for the endpoints; all are ended with the soak, also where it fails.

--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -35,6 +35,12 @@
 RUNNING: 'list[Deployment]' = []
 
 
+def draw_network() -> str:
+    """The first three bytes of a network of one's own: ports are the same on all machines, and others may run beside."""
+    generator = random.SystemRandom()
+    return f'127.{generator.randrange(2, 250)}.{generator.randrange(1, 250)}'
+
+
 class AdapterProcess:
     """One process of the adapter, on an address of its own; its role is 'core' or 'edge'."""
 
@@ -89,8 +95,7 @@
 
     def __init__(self, cores: int = 3, edges: int = 2):
         self.folder = tempfile.mkdtemp(prefix='zt-chain-')
-        # A network of its own, because ports are the same on all machines and other deployments may run beside it.
-        self.network = f'127.{random.SystemRandom().randrange(2, 250)}.{random.SystemRandom().randrange(1, 250)}'
+        self.network = draw_network()
         seeds = [f'{self.network}.{index + 1}:8649' for index in range(min(SEEDS, cores))]
         self.cores = [self.new_process('core', index + 1, index, seeds) for index in range(cores)]
         self.edges = [self.new_process('edge', index + FIRST_PROXY, index, seeds) for index in range(edges)]
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -29,6 +29,8 @@
 IDLE_S = 4.5
 # How often it is measured whether the loop is late.
 LAG_INTERVAL_S = 0.02
+# The last byte of the first endpoint's address; each has an address that no earlier one had.
+FIRST_ENDPOINT = 1
 FINAL_STATUSES = (200, 400, 404, 409, 413, 422)
 
 
@@ -83,6 +85,8 @@
         self.routes_of_host = {host: [route for route in ROUTES if route.host == host] for host in self.hosts}
         self.directory = soak_clients.Directory(self, self.zones, self.hosts)
         self.endpoints: list[soak_endpoints.SoakEndpoint] = []
+        # Beside that of the processes, which may fill theirs; other soaks may run beside this one.
+        self.endpoint_network = deployment.draw_network()
         # When each process was started.
         self.starts: dict[str, list[float]] = {keeper.process.name: [] for keeper in self.keepers}
 
@@ -133,7 +137,7 @@
     async def add_endpoint(self, service: str, zone: str) -> None:
         """Start an endpoint on an address that no other had."""
         number = len(self.endpoints)
-        address = f'{self.deployment.network.rsplit(".", 1)[0]}.{250 + number // 250}.{1 + number % 250}:{soak_endpoints.PORT}'
+        address = f'{self.endpoint_network}.{FIRST_ENDPOINT + number}:{soak_endpoints.PORT}'
         rng = random.Random(f'{self.seed}/endpoint{number}')
         endpoint = soak_endpoints.SoakEndpoint(self, address, service, zone, rng)
         self.endpoints.append(endpoint)
@@ -173,7 +177,15 @@
 
     async def run(self) -> list[str]:
         """Play the soak; its findings."""
-        await self.start()
+        try:
+            await self.start()
+            return await self.play()
+        finally:
+            for each in self.endpoints:
+                await each.end()
+
+    async def play(self) -> list[str]:
+        """Play what follows once everything has started; its findings."""
         loop = asyncio.get_running_loop()
         watchers = [loop.create_task(keeper.keep()) for keeper in self.keepers]
         watchers.append(loop.create_task(self.directory.keep_asking()))
