--- a/features/open_days.feature
+++ b/features/open_days.feature
@@ -8,6 +8,7 @@
       | seed | shape | faults                                 |
       | 8    | small | roll_term_fronts                       |
       | 1011 | many  | roll_term,masters_in_turn,replies_lost |
+      | 9103 | small | replace_core,disk_full,kill_all        |
 
   Scenario: Work ends for clients that give up while endpoints are slow (issue 29)
     Given an open day of give_up under seed 3, site
