--- a/features/support/control_node.py
+++ b/features/support/control_node.py
@@ -17,14 +17,14 @@
 FIRST_CALL = 1000
 
 
-class ControlNode:
+class ControlNode(machine_host.TimedMachine):
     """Control node a of the voters a, b and c; b answers what it is sent at once, unless it is muted."""
 
     def __init__(self, seed: int = 1):
         files = machine_host.data_folder('a', VOTERS, START_TERM, START_VERSION)
         location = machine_host.location_of('a')
-        self.machine = controller.Controller(location, settings.Settings(), random.Random(seed), files)
-        self.now = durations.ZERO
+        machine = controller.Controller(location, settings.Settings(), random.Random(seed), files)
+        super().__init__(machine, durations.ZERO)
         self.is_muted = True
         # What b holds.
         self.replica = replica.Replica()
@@ -77,14 +77,6 @@
         address = machine_host.address_of(to)
         return [send.frame for send in self.sends if send.address == address and send.frame['t'] == kind]
 
-    def run(self, duration_ms: float) -> None:
-        """Let time go on."""
-        end = self.now + durations.ms(duration_ms)
-        while self.machine.next_timer() is not None and self.machine.next_timer() <= end:
-            self.now = max(self.now, self.machine.next_timer())
-            self.feed('wake')
-        self.now = end
-
     def follow(self, leader: str, term: int) -> None:
         """Get a heartbeat of a leader."""
         self.recv(leader, 'chk', term=term, to='a', round=1, http='')
@@ -127,7 +119,7 @@
 
     def operate(self, operation: str, **arguments) -> dict[str, typing.Any]:
         """The result of an operation on the replicated state."""
-        results = []
+        results: list[dict[str, typing.Any]] = []
         self.machine.serve(operation, arguments, results.append)
         self.feed('wake')
         self.run(100)
--- a/features/support/credit_pool.py
+++ b/features/support/credit_pool.py
@@ -1,5 +1,7 @@
 """A pool's credit ledger, and proxies that ask it for credit."""
 
+import typing
+
 import zinctrail.consensus.replica as replica
 import zinctrail.control.routing_table as routing_table
 import zinctrail.directory.credit_ledger as credit_ledger
@@ -14,7 +16,7 @@
 def endpoint_row(index: int, text: str) -> list:
     """The row of an endpoint that is written as `SLOTS [cold LEFT] [draining] [evacuated]`."""
     words = text.split()
-    row = {
+    row: dict[str, typing.Any] = {
         'addr': f'10.0.0.{index + 1}:80',
         'service': 's',
         'cell': 'gone' if 'evacuated' in words else 'c',
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -87,6 +87,7 @@
 
     def wait(self, timeout_s: float = 30) -> int:
         """The exit status of the process, once it has ended."""
+        assert self.process is not None
         return self.process.wait(timeout_s)
 
 
--- a/features/support/endpoint.py
+++ b/features/support/endpoint.py
@@ -359,7 +359,7 @@
     return False
 
 
-BEHAVIOURS = {
+BEHAVIOURS: dict[str, collections.abc.Callable[..., bool]] = {
     'ok': Endpoint.send_whole,
     'cut': cut_short,
     'reset': reset,
--- a/features/support/fleet_under_load.py
+++ b/features/support/fleet_under_load.py
@@ -54,7 +54,9 @@
 
 def leader(fleet: processes.Fleet) -> processes.FleetProcess:
     """The process that leads, once one does."""
-    return fleet.until(fleet.leader, 'a master')
+    found = fleet.until(fleet.leader, 'a master')
+    assert found is not None
+    return found
 
 
 def configuration(fleet: processes.Fleet) -> dict[str, typing.Any]:
--- a/features/support/item_store.py
+++ b/features/support/item_store.py
@@ -42,7 +42,7 @@
     drops: Document = {'rules': [], 'pools': []}
     for word in text.split(' + '):
         name, _, rest = word.partition(':')
-        part = PARTS.get(name[0])
+        part = PARTS[name[0]]
         if rest.endswith('-'):
             drops[part].append({'name': name, 'version': int(rest[:-1])})
             continue
@@ -57,6 +57,10 @@
     return {'set': sets, 'drop': drops}
 
 
+# What a step in a transaction returns.
+Result = collections.abc.Mapping[str, typing.Any]
+
+
 class ItemStore:
     """The replicated state of items, its files, and changes made in it."""
 
@@ -67,7 +71,7 @@
             'term': storage.encode({'term': TERM, 'vote': None}),
         }
 
-    def run(self, step: collections.abc.Callable[[transactions.Transaction], Document]) -> Document:
+    def run(self, step: collections.abc.Callable[[transactions.Transaction], Result]) -> Result:
         """Run a step in a transaction and commit what it changes; its result."""
         version = (TERM, self.replica.accepted[1] + 1)
         transaction = transactions.Transaction(self.replica, version, durations.ZERO)
@@ -80,7 +84,7 @@
             self.replica.commit(version)
         return result
 
-    def change(self, text: str) -> Document:
+    def change(self, text: str) -> Result:
         """Ask for a change; its result."""
         return self.run(lambda transaction: configuration_items.apply(transaction, parse_change(text)))
 
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -1,6 +1,7 @@
 """Control nodes whose frames with operations are copied late, and callers whose acknowledged orders must stand."""
 
 import collections.abc
+import functools
 import json
 import random
 import typing
@@ -106,12 +107,12 @@
     """A zone is evacuated and taken back, again and again."""
     while True:
         for is_on in (True, False):
-            yield Order('/v1/cell/empty', {'cell': CELL, 'on': is_on}, lambda state, on=is_on: is_emptied(state) == on)
+            yield Order('/v1/cell/empty', {'cell': CELL, 'on': is_on}, functools.partial(is_emptied_as, is_on))
 
 
-def is_emptied(state: replica.Replica) -> bool:
-    """Whether the zone is evacuated."""
-    return bool((state.get('cells', CELL) or {}).get('emptied'))
+def is_emptied_as(is_on: bool, state: replica.Replica) -> bool:
+    """Whether the zone is evacuated, or is not."""
+    return bool((state.get('cells', CELL) or {}).get('emptied')) == is_on
 
 
 def locks(caller: Caller) -> collections.abc.Iterator[Order]:
@@ -123,10 +124,10 @@
         # A call given up on may have held it anew beside the one that was answered, so that the yield frees nothing;
         # but none may hold it anew after the yield's acknowledgement.
         fences: list[int] = []
-        yield Order('/v1/lock/yield', body, lambda state, fences=fences: nobody_holds_anew(state, fences))
+        yield Order('/v1/lock/yield', body, functools.partial(nobody_holds_anew, fences))
 
 
-def nobody_holds_anew(state: replica.Replica, fences: list[int]) -> bool:
+def nobody_holds_anew(fences: list[int], state: replica.Replica) -> bool:
     """Whether the lock is free, or under the fence that it had when this was first asked, kept in `fences`."""
     fence = (state.get('locks', 'l') or {'fence': 0})['fence']
     if not fences:
@@ -148,11 +149,12 @@
     """A value is replaced, again and again."""
     for number in range(10**6):
         value = f'v{number}'
-        yield Order(
-            '/v1/cell/put',
-            {'name': 'g.a', 'value': value},
-            lambda state, value=value: (state.get('values', 'g.a') or {}).get('value') == value,
-        )
+        yield Order('/v1/cell/put', {'name': 'g.a', 'value': value}, functools.partial(has_value, value))
+
+
+def has_value(value: str, state: replica.Replica) -> bool:
+    """Whether the value is the one that was put."""
+    return (state.get('values', 'g.a') or {}).get('value') == value
 
 
 def beats(caller: Caller) -> collections.abc.Iterator[Order]:
@@ -162,18 +164,18 @@
         row = {'addr': '10.1.0.1:80', 'service': 's', 'cell': CELL, 'slots': 4}
         for sequence, state_name in ((1, 'ready'), (2, 'draining')):
             body = dict(row, inc=incarnation, seq=sequence, state=state_name)
-            yield Order(
-                '/v1/beat',
-                body,
-                lambda state, incarnation=incarnation, wanted=state_name: (
-                    (state.get('endpoints', incarnation) or {'state': wanted})['state'] == wanted
-                ),
-            )
-        yield Order(
-            '/v1/leave',
-            {'inc': incarnation},
-            lambda state, incarnation=incarnation: state.get('endpoints', incarnation) is None,
-        )
+            yield Order('/v1/beat', body, functools.partial(is_in_state, incarnation, state_name))
+        yield Order('/v1/leave', {'inc': incarnation}, functools.partial(is_gone, incarnation))
+
+
+def is_in_state(incarnation: str, wanted: str, state: replica.Replica) -> bool:
+    """Whether an endpoint is in a state, or is not known any more."""
+    return (state.get('endpoints', incarnation) or {'state': wanted})['state'] == wanted
+
+
+def is_gone(incarnation: str, state: replica.Replica) -> bool:
+    """Whether an endpoint is not known."""
+    return state.get('endpoints', incarnation) is None
 
 
 ALL_ORDERS = (evacuations, locks, numbers, values, beats)
--- a/features/support/lookup_directory.py
+++ b/features/support/lookup_directory.py
@@ -11,7 +11,7 @@
 import zinctrail.runtime.settings as settings
 
 # {host: the home regions of each of its rules}.
-HOMES = {
+HOMES: dict[str, list[list[str]]] = {
     'any': [[]],
     'h01': [['r0', 'r1']],
     'h1': [['r1'], []],
--- a/features/support/machine_host.py
+++ b/features/support/machine_host.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import datetime
 import typing
 
 import zinctrail.consensus.node_location as node_location
@@ -52,12 +53,35 @@
     return dict(fields, t=kind, v=WIRE_LEVEL, c=CLUSTER, f=node, a=address_of(node))
 
 
-class MachineHost:
-    """Runs one machine and keeps the effects of the last input; its disk may be full."""
+class TimedMachine:
+    """One machine and its clock; subclasses say what becomes of its effects."""
 
-    def __init__(self, machine):
+    def __init__(self, machine: typing.Any, now: datetime.timedelta):
         self.machine = machine
-        self.now = durations.ZERO
+        self.now = now
+
+    def feed(self, kind: str, *arguments: typing.Any) -> typing.Any:
+        """Give the machine an input."""
+        raise NotImplementedError
+
+    def run(self, duration_ms: float, after_each: collections.abc.Callable[[], None] | None = None) -> None:
+        """Let time go on; `after_each` is called each time that timers have fired."""
+        end = self.now + durations.ms(duration_ms)
+        timer = self.machine.next_timer()
+        while timer is not None and timer <= end:
+            self.now = max(self.now, timer)
+            self.feed('wake')
+            if after_each:
+                after_each()
+            timer = self.machine.next_timer()
+        self.now = end
+
+
+class MachineHost(TimedMachine):
+    """Runs one machine and keeps the effects of the last input; its disk may be full."""
+
+    def __init__(self, machine: typing.Any):
+        super().__init__(machine, durations.ZERO)
         self.is_disk_full = False
         self.effects: list = []
 
@@ -92,13 +116,3 @@
             if isinstance(effect, effects.Send) and effect.frame['t'] == kind:
                 return False
         return False
-
-    def run(self, duration_ms: float, after_each: collections.abc.Callable[[], None] | None = None) -> None:
-        """Let time go on; `after_each` is called each time that timers have fired."""
-        end = self.now + durations.ms(duration_ms)
-        while self.machine.next_timer() is not None and self.machine.next_timer() <= end:
-            self.now = max(self.now, self.machine.next_timer())
-            self.feed('wake')
-            if after_each:
-                after_each()
-        self.now = end
--- a/features/support/open_traffic_proxy.py
+++ b/features/support/open_traffic_proxy.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+import features.support.machine_host as machine_host
 import zinctrail.consensus.node_location as node_location
 import zinctrail.proxy.node as proxy_node
 import zinctrail.runtime.durations as durations
@@ -61,7 +62,7 @@
     return ['endpoints', f'e{index}', row]
 
 
-class OpenTrafficProxy:
+class OpenTrafficProxy(machine_host.TimedMachine):
     """The proxy with a number among `proxies`, before endpoints of one pool that one rule leads to."""
 
     def __init__(
@@ -74,10 +75,9 @@
         are_cold: bool = False,
         number: int = 0,
     ):
-        self.now = START
         address = f'10.0.1.{number}'
         location = node_location.NodeLocation(f'{address}:1', f'{address}:2', 'r/c', [], f'{address}:3')
-        self.machine = proxy_node.Proxy(location, settings.Settings(grace=GRACE), random.Random(seed))
+        super().__init__(proxy_node.Proxy(location, settings.Settings(grace=GRACE), random.Random(seed)), START)
         self.machine.now = self.now
         self.machine.retry_budgets.sharers = proxy_node.retry_budget.BudgetSharers(
             self.machine.settings, durations.ZERO
@@ -122,14 +122,6 @@
         self.feed('front', request_id, effects.HttpRequest('GET', '/a', headers, b''))
         return request_id
 
-    def run(self, duration_ms: float) -> None:
-        """Let time go on."""
-        end = self.now + durations.ms(duration_ms)
-        while self.machine.next_timer() is not None and self.machine.next_timer() <= end:
-            self.now = max(self.now, self.machine.next_timer())
-            self.feed('wake')
-        self.now = end
-
     def fetches(self) -> list[effects.HttpFetch]:
         """The requests to endpoints among the effects that were kept."""
         return [effect for effect in self.effects if isinstance(effect, effects.HttpFetch)]
--- a/features/support/platform_documents.py
+++ b/features/support/platform_documents.py
@@ -119,9 +119,9 @@
 def fill_template(template: str, values: dict[str, typing.Any]) -> str:
     """The platform's template engine, as far as our templates use it; raises ValueError for what it does not know."""
 
-    def filled(match):
+    def filled(match: re.Match[str]) -> str:
         name, _, form = match.group(1).partition('|')
-        value = values
+        value: typing.Any = values
         for part in [part for part in name.split('.') if part]:
             value = value[int(part)] if isinstance(value, list) else value.get(part)
         if form not in ('', 'json'):
--- a/features/support/random_core_faults.py
+++ b/features/support/random_core_faults.py
@@ -25,7 +25,7 @@
     def __init__(self, seed: int):
         self.rng = random.Random(f'second loss/{seed}')
         self.control_node_count = self.rng.choice(CONTROL_NODE_COUNTS)
-        shape = dict(deployments.PRESETS['small'], cores=self.control_node_count)
+        shape: deployments.Shape = {**deployments.PRESETS['small'], 'cores': self.control_node_count}
         self.deployment = client_deployment.Deployment(world.World(seed), shape)
         self.world = self.deployment.world
         self.deployment.start()
--- a/features/support/simulated_platform.py
+++ b/features/support/simulated_platform.py
@@ -6,6 +6,7 @@
 import features.support.http_calls as http_calls
 import features.support.platform_documents as platform_documents
 import features.support.repository as repository
+import zinctrail.consensus.replica as replica
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
 import zinctrail.simulation.world as world
@@ -66,11 +67,17 @@
             raise RuntimeError(f'{method} {path}: no response')
         return responses[0]
 
+    def leading_replica(self) -> replica.Replica:
+        """The state that the leader holds."""
+        leader = self.world.leader()
+        assert leader is not None, 'nobody leads'
+        return leader.machine.replica
+
     def state(self) -> str:
         """All that the control nodes keep, except for what changes by itself."""
-        tables = self.world.leader().machine.replica.tables
+        tables = self.leading_replica().tables
         return json.dumps({name: rows for name, rows in tables.items() if name not in VOLATILE_TABLES}, sort_keys=True)
 
     def endpoints(self) -> dict[str, typing.Any]:
         """The rows of the endpoints that the leader knows."""
-        return self.world.leader().machine.replica.get('endpoints')
+        return self.leading_replica().get('endpoints')
--- a/features/support/soak/notes.py
+++ b/features/support/soak/notes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import time
+import typing
 
 
 def now() -> float:
@@ -74,6 +75,13 @@
     at: float
 
 
+class AcknowledgedChange(typing.NamedTuple):
+    """A change of an item that was acknowledged; None is its removal."""
+
+    version: int
+    row: dict[str, typing.Any] | None
+
+
 class Notes:
     """All that was seen."""
 
@@ -86,8 +94,8 @@
         self.lookups: list[Lookup] = []
         # What the disturbances did, in words.
         self.events: list[tuple[float, str]] = []
-        # Acknowledged items, the newest version of each: {name: row, None where it was removed}.
-        self.acknowledged: dict[str, dict | None] = {}
+        # The newest acknowledged change of each item, by its name.
+        self.acknowledged: dict[str, AcknowledgedChange] = {}
         # (when, how late it was in seconds) of the soak's own loop.
         self.lags: list[tuple[float, float]] = []
         # Faults that a part of the soak saw itself.
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -131,8 +131,8 @@
     def note_item(self, name: str, version: int, row: dict | None) -> None:
         """An item was acknowledged; the highest version holds."""
         known = self.notes.acknowledged.get(name)
-        if known is None or known['version_number'] < version:
-            self.notes.acknowledged[name] = {'version_number': version, 'row': row}
+        if known is None or known.version < version:
+            self.notes.acknowledged[name] = soak_notes.AcknowledgedChange(version, row)
 
     async def add_endpoint(self, service: str, zone: str) -> None:
         """Start an endpoint on an address that no other had."""
@@ -247,12 +247,12 @@
             self.notes.faults.append('the configuration can not be read back')
             return
         read = {row['name']: row for row in document['route_list']}
-        for name, item in self.notes.acknowledged.items():
+        for name, change in self.notes.acknowledged.items():
             row = read.get(name)
-            if row is None and item['row'] is not None:
-                self.notes.faults.append(f'route {name} of version {item["version_number"]} is missing')
-            elif row is not None and row['version_number'] < item['version_number']:
-                self.notes.faults.append(f'route {name} is read back older than {item["version_number"]}')
+            if row is None and change.row is not None:
+                self.notes.faults.append(f'route {name} of version {change.version} is missing')
+            elif row is not None and row['version_number'] < change.version:
+                self.notes.faults.append(f'route {name} is read back older than {change.version}')
 
 
 class Result(typing.NamedTuple):
--- a/features/support/voting_world.py
+++ b/features/support/voting_world.py
@@ -39,7 +39,7 @@
 def form(seed: int, voters: int, spares: int = 0) -> world.World:
     """A small deployment whose first `voters` control nodes form the cluster; spares start once it runs."""
     simulated = world.World(seed)
-    deployment = client_deployment.Deployment(simulated, dict(deployments.PRESETS['small'], cores=voters))
+    deployment = client_deployment.Deployment(simulated, {**deployments.PRESETS['small'], 'cores': voters})
     deployment.start()
     for index in range(spares):
         zone = deployment.cells[index % len(deployment.cells)]
@@ -57,6 +57,13 @@
     return leader.machine.voting_set() if leader else None
 
 
+def leaders_voting_set(simulated: world.World) -> VotingSet:
+    """The leader's accepted voting set; raises AssertionError without a leader."""
+    current = voting_set(simulated)
+    assert current is not None, 'nobody leads'
+    return current
+
+
 def committed_voting_set(node: simulated_node.Node) -> VotingSet:
     """The voting set of the newest version that a node knows to be committed."""
     return node.machine.replica.get('meta', 'vc')
@@ -70,12 +77,12 @@
 def is_settled(simulated: world.World, size: int) -> bool:
     """Whether the voting set has a size, and no change is under way."""
     current = voting_set(simulated)
-    return bool(current) and not is_joint(current) and len(current['accepted']) == size
+    return current is not None and not is_joint(current) and len(current['accepted']) == size
 
 
 def voters_of(simulated: world.World) -> list[simulated_node.Node]:
     """The processes that vote and are up, the leader first."""
-    identities = voting_set(simulated)['accepted']
+    identities = leaders_voting_set(simulated)['accepted']
     nodes = [node for node in simulated.of('core') if node.up and node.machine.node in identities]
     return sorted(nodes, key=lambda node: (node is not simulated.leader(), node.name))
 
