Soak: a process that was killed counts as killed, also if told to end before it is gone

Its disturbances are a SIGTERM and SIGKILL of that proxy at 12.14 and a SIGTERM to each proxy in turn from 13.46 on; nothing else sends a SIGKILL, and its log ends while it drains. A SIGTERM sent before the killed process was gone took the place of the SIGKILL in the notes.

Change: a SIGTERM changes nothing for a process that was killed or told to end.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -35,3 +35,15 @@
       | a process ended with 0 after SIGTERM                                     | none     |
       | a process was killed                                                     | none     |
       | a proxy did not end within its grace                                     | fault    |
+
+  Scenario Outline: A process that is not gone yet after <signals> counts as ended by <which>
+    Given a process of a soak that takes a while to go
+    When it gets <signals>
+    Then it counts as ended by <which> from its <time> signal on
+    Examples:
+      | signals                 | which   | time   |
+      | SIGTERM                 | SIGTERM | first  |
+      | SIGTERM SIGHUP SIGTERM  | SIGTERM | first  |
+      | SIGTERM SIGKILL         | SIGKILL | second |
+      | SIGTERM SIGKILL SIGTERM | SIGKILL | second |
+      | SIGKILL SIGTERM         | SIGKILL | first  |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,9 +2,11 @@
 
 import collections.abc
 import signal
+import types
 
 import behave
 
+import features.support.soak.keepers as keepers
 import features.support.soak.notes as soak_notes
 import features.support.soak.run as soak_run
 import features.support.soak.verdicts as verdicts
@@ -125,3 +127,30 @@
 def verdicts_are(context, verdict: str):
     names = {finding.partition(':')[0] for finding in context.judge.verdicts()}
     assert names == (set() if verdict == 'none' else {verdict}), context.judge.verdicts()
+
+
+# -- processes ----------------------------------------------------------------------
+
+
+@behave.given('a process of a soak that takes a while to go')
+def slow_process(context):
+    context.notes = soak_notes.Notes()
+    soak = types.SimpleNamespace(seed=1, notes=context.notes)
+    still_there = types.SimpleNamespace(poll=lambda: None)
+    process = types.SimpleNamespace(name='edge', front=FRONT, process=still_there, signal=lambda number: None)
+    context.keeper = keepers.Keeper(soak, process)
+
+
+@behave.when('it gets {names}')
+def process_gets_signals(context, names: str):
+    for name in names.split():
+        context.keeper.signal(signal.Signals[name])
+
+
+@behave.then('it counts as ended by {name} from its {time} signal on')
+def counts_as_ended_by(context, name: str, time: str):
+    assert context.keeper.ended_by == signal.Signals[name], context.keeper.ended_by
+    sent_at = [0.0, *(sent.at for sent in context.notes.signals)]
+    position = ('first', 'second').index(time)
+    # It is told right before its signal is noted.
+    assert sent_at[position] < context.keeper.told_at <= sent_at[position + 1], (sent_at, context.keeper.told_at)
--- a/features/support/soak/keepers.py
+++ b/features/support/soak/keepers.py
@@ -34,11 +34,9 @@
         """Send a signal, and note it."""
         if self.process.process is None or self.process.process.poll() is not None:
             return
-        if number in (signal.SIGTERM, signal.SIGKILL):
-            # A SIGKILL ends a process that was told to end before, too.
-            self.told_at = (
-                self.told_at if self.ended_by == signal.SIGTERM and number == signal.SIGTERM else soak_notes.now()
-            )
+        # A SIGKILL ends a process that was told to end before, too; a SIGTERM changes nothing for one that was.
+        if number == signal.SIGKILL or (number == signal.SIGTERM and self.ended_by is None):
+            self.told_at = soak_notes.now()
             self.ended_by = number
         self.soak.notes.signals.append(
             soak_notes.Signal(self.process.name, self.process.front, number, soak_notes.now())
