--- a/features/support/item_store.py
+++ b/features/support/item_store.py
@@ -18,7 +18,7 @@
 
 TERM = 1
 # The part of the configuration that a name's first letter stands for.
-PARTS = {'r': 'rules', 'p': 'pools', 'q': 'pools'}
+PARTS = {'r': 'rules', 'p': 'pools', 'q': 'pools', 'l': 'limits'}
 
 Document = dict[str, typing.Any]
 
@@ -48,7 +48,7 @@
             continue
         version, _, content = rest.partition('=')
         letter, _, pool = content.partition('>')
-        if name == 'limits':
+        if part == 'limits':
             sets['limits'] = {'version': int(version), 'idle_ms': 1000 + ord(letter)}
         elif part == 'pools':
             sets['pools'].append({'name': name, 'version': int(version), 'connections': ord(letter or 'a')})
