Directory of the lookup tests: one stand-in in place of two

Change: LookupMember serves both; LookupDirectory adds the state that a scenario changes. No check differs.

--- a/features/steps/routes_kept_steps.py
+++ b/features/steps/routes_kept_steps.py
@@ -1,15 +1,10 @@
 """Steps of routes_kept.feature: how often a directory or a proxy iterates over all members."""
 
-import random
-
 import behave
 
+import features.support.lookup_directory as lookup_directory
 import zinctrail.consensus.replica as replica
-import zinctrail.control.proxy_lookup as proxy_lookup
-import zinctrail.control.routing_table as routing_table
 import zinctrail.proxy.endpoint_selection as endpoint_selection
-import zinctrail.runtime.durations as durations
-import zinctrail.runtime.settings as settings
 
 CELLS = ('r0/a', 'r0/b', 'r1/c')
 
@@ -34,25 +29,6 @@
         return super().__iter__()
 
 
-class Directory:
-    """Standing answers over a state, with a lease that never ends."""
-
-    def __init__(self, state):
-        self.replica = state
-        self.routes = routing_table.RoutingTable(state)
-        self.settings = settings.Settings()
-        self.rng = random.Random(1)
-        self.node = 'directory'
-        self.proxy_lookup = proxy_lookup.ProxyLookup(self)
-
-    def log(self, text, event='', **fields):
-        """Log nothing."""
-
-    def lease_left(self):
-        """How long the lease lasts yet."""
-        return durations.ms(1000)
-
-
 def member_row(number):
     """The row of a proxy in the membership table."""
     return {
@@ -74,7 +50,7 @@
     state.accept((1, 1), tables={'members': rows, 'items': items, 'cells': cells})
     state.commit((1, 1))
     context.rows = rows
-    context.directory = Directory(state)
+    context.directory = lookup_directory.LookupMember(state)
 
 
 @behave.step('{count:d} standing answers for open traffic and {labels:d} for traffic by labels are given')
--- a/features/support/lookup_directory.py
+++ b/features/support/lookup_directory.py
@@ -1,5 +1,6 @@
 """A directory that answers lookups over a state which a scenario puts together; its lease never ends."""
 
+import datetime
 import random
 import typing
 
@@ -45,17 +46,35 @@
     }
 
 
-class LookupDirectory:
-    """A member that serves lookups, as `proxy_lookup.LookupNode` has it."""
+class LookupMember:
+    """A member that serves lookups over a state, as `proxy_lookup.LookupNode` has it."""
 
-    def __init__(self, proxies: dict[str, dict[str, typing.Any]]):
+    def __init__(self, state: replica.Replica):
         self.node = 'directory'
         self.location = node_location.NodeLocation('d:1', 'd:2', 'r0/a', [])
         self.settings = settings.Settings()
         self.rng = random.Random(1)
-        self.replica = replica.Replica()
-        self.routes = routing_table.RoutingTable(self.replica)
+        self.replica = state
+        self.routes = routing_table.RoutingTable(state)
         self.proxy_lookup = proxy_lookup.ProxyLookup(self)
+
+    def leased(self) -> bool:
+        """It may always act on its state."""
+        return True
+
+    def lease_left(self) -> datetime.timedelta:
+        """How long the lease lasts yet."""
+        return durations.ms(1000)
+
+    def log(self, text: str, event: str = '', **fields: typing.Any) -> None:
+        """Log nothing."""
+
+
+class LookupDirectory(LookupMember):
+    """One whose state has rules for each of HOMES, and proxies that a scenario lets come and go."""
+
+    def __init__(self, proxies: dict[str, dict[str, typing.Any]]):
+        super().__init__(replica.Replica())
         self.version = 0
         self.commit(tables={'members': dict(proxies), 'items': rule_rows(), 'cells': {}})
 
@@ -74,14 +93,3 @@
     def answers(self, zone: str, host: str, count: int = 100) -> list[list[str]]:
         """The fronts that so many answers name."""
         return [self.proxy_lookup.find_fronts(zone, MOST, host)['proxies'] for _ in range(count)]
-
-    def leased(self) -> bool:
-        """It may always act on its state."""
-        return True
-
-    def lease_left(self):
-        """How long the lease lasts yet."""
-        return durations.ms(1000)
-
-    def log(self, text: str, event: str = '', **fields) -> None:
-        """Log nothing."""
