--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -83,7 +83,7 @@
                 request = await http_calls.read_message(reader)
                 writer.write(await self.answer(request))
                 await writer.drain()
-        except (http_calls.BrokenMessageError, ConnectionError):
+        except (http_calls.BrokenMessageError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
