--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,111 +1,102 @@
-"""A region of two control nodes is without power; meanwhile two others lose their disks; then all are back."""
+"""A put whose answers are lost for some seconds is sent again, while others write the same key."""
 
 import asyncio
 import os
-import shutil
+import time
 
 import common.case as case
-import common.client as client
 import common.configuration as configuration
 import common.deployment as deployment
 import common.http_calls as http_calls
+import common.lossy_proxy as lossy_proxy
 import common.record as record
 
-# As at the site amdls-lend-grown: six control nodes, two in each region; two may lose their disks.
-CORES, LOST_DISKS = 6, 2
-# How long the region has been dark when the disks are lost, and when all start again.
-DARK_S, BACK_S = 4.5, 5.5
-# How long the configuration is asked for, after the time that the service has to recover.
-ASKED_S = 15
-REQUESTS = 20
-
-
-async def read(node: deployment.Node) -> http_calls.Message | None:
-    """What a control node answers to a read of the configuration; None without an answer within a second."""
-    try:
-        return await http_calls.call(node.address('control_plane'), 'GET', '/v1/configuration')
-    except (OSError, TimeoutError):
-        return None
-
-
-async def voters_among(running: list[deployment.Node]) -> list[deployment.Node]:
-    """The control nodes that vote now, by the program's own status page: it tells which lot would be the bad one."""
-    voters: list[str] = []
-    identities: dict[str, deployment.Node] = {}
-    for node in running:
-        page = await http_calls.call(f'{node.ip}:{deployment.INTERNAL_PORTS[0] + 1}', 'GET', '/v1/self')
-        state = page.document['state']
-        identities[state['id']] = node
-        voters = state['voters']['accepted']
-    return [identities[voter] for voter in voters if voter in identities]
-
-
-async def region_of_two_voters(system: deployment.Deployment) -> list[deployment.Node]:
-    """The control nodes of a region both of which vote: of five voters in three regions, two regions have two."""
-    voters = await voters_among(system.cores)
-    for region in sorted(set(deployment.ZONES.values())):
-        nodes = [node for node in system.cores if deployment.ZONES[node.zone] == region]
-        if all(node in voters for node in nodes):
-            return nodes
-    raise deployment.CaseError('no region has two voters')
-
-
-async def served(system: deployment.Deployment, events: record.Record) -> int:
-    """How many of some requests of clients get a success."""
-    count = 0
-    for number in range(REQUESTS):
-        _, answer = await client.request(system, system.edges[number % len(system.edges)], '/r1/x')
-        count += answer is not None and answer.status == 200
-    events.write(f'{count} of {REQUESTS} requests are served')
-    return count
-
-
-async def is_read_back(system: deployment.Deployment, events: record.Record) -> bool:
-    """Whether any node answers a read with all that was acknowledged."""
-    for second in range(ASKED_S):
-        answers = [await read(node) for node in system.cores]
-        events.write(f'reads, {second} s: ' + ', '.join(str(answer and answer.status) for answer in answers))
-        for answer in answers:
-            if answer is not None and answer.status == 200:
-                return {'r1', 'r2'} <= {row['name'] for row in answer.document['route_list']}
-        await asyncio.sleep(1.0)
-    return False
+KEY = 'g1.2d'
+# The answers to one caller are lost for so long; it sends its put again after each second of silence.
+LOST_S = 3.0
+# The other callers of the small deployment: three, each with a read and a put every so many seconds. Together with the
+# one whose answers are lost they make no more than the 41 calls a second of the deployment.
+OTHERS = 3
+PAUSE_S = 0.2
+SILENCE_S = 1.0
+
+
+async def write_on(
+    system: deployment.Deployment, events: record.Record, name: str, delay_s: float, until: float
+) -> None:
+    """One of the other callers: reads the key and writes it at the revision that it read."""
+    number = 0
+    await asyncio.sleep(delay_s)
+    while time.monotonic() < until:
+        began = time.monotonic()
+        read = await system.operate('GET', f'/v1/cells/{KEY}')
+        revision = read.document['revision'] if read.status == 200 else 0
+        number += 1
+        document = {'value': f'{name}.{number}', 'concerns': revision}
+        answer = await system.operate('PUT', f'/v1/cells/{KEY}', document)
+        events.write(f'{name} puts {document}: {answer.status} {answer.body.decode()}')
+        await asyncio.sleep(max(0.0, began + PAUSE_S - time.monotonic()))
+
+
+async def put_until_answered(
+    events: record.Record, proxies: list[lossy_proxy.LossyProxy], document: dict, until: float
+) -> http_calls.Message | None:
+    """The caller with the lossy way: the same put, to one address after the other, until there is a clear answer."""
+    turn = 0
+    while time.monotonic() < until:
+        address = proxies[turn % len(proxies)].address
+        turn += 1
+        events.write(f'A puts {document}, try {turn}')
+        try:
+            answer = await http_calls.call(address, 'PUT', f'/v1/cells/{KEY}', document, SILENCE_S)
+        except (OSError, TimeoutError):
+            events.write('A has heard nothing for a second')
+            continue
+        events.write(f'A is answered {answer.status} {answer.body.decode()}')
+        if answer.status not in (429, 500, 502, 503, 504):
+            return answer
+        await asyncio.sleep(0.1)
+    return None
 
 
 async def play(system: deployment.Deployment, events: record.Record) -> bool:
-    """Whether no node answers a read of the configuration with what was acknowledged."""
+    """Whether the put that came again got 412, or another revision than it had."""
     await system.start(configuration.change([configuration.route('r1', 7, 'sa')], [configuration.service('sa', 7)]))
-    await system.add_endpoint('sa', 'st-a')
-    # Time to form the whole voting set, longer than `catch_up_s`.
-    await asyncio.sleep(8.0)
-    await served(system, events)
-    region = await region_of_two_voters(system)
-    if case.has_trouble():
-        for node in region:
-            node.kill()
-        events.write(f'without power: {[node.name for node in region]}')
-    await asyncio.sleep(DARK_S)
-    change = configuration.change([configuration.route('r2', 9, 'sa')])
-    await system.operate('PATCH', '/v1/configuration', change)
-    events.write('r1 and r2 are acknowledged')
-    if case.has_trouble():
-        voters = await voters_among([node for node in system.cores if node not in region])
-        events.write(f'voters now: {[node.name for node in voters]}')
-        wiped = voters[:LOST_DISKS]
-        for node in wiped:
-            node.kill()
-            shutil.rmtree(node.data)
-        events.write(f'lost their disks: {[node.name for node in wiped]}')
-        await asyncio.sleep(BACK_S - DARK_S)
-        for node in wiped + region:
-            node.start()
-        events.write('all run again')
-    await asyncio.sleep(deployment.BOUNDS['recovery_s'])
-    events.write(f'{deployment.BOUNDS["recovery_s"]} s later')
-    is_back = await is_read_back(system, events)
-    await served(system, events)
-    return not is_back
+    proxies = [
+        lossy_proxy.LossyProxy(events, f'{system.network}.{201 + index}', node.address('control_plane'))
+        for index, node in enumerate(system.cores)
+    ]
+    for proxy in proxies:
+        await proxy.start()
+    first = await system.operate('PUT', f'/v1/cells/{KEY}', {'value': 'first', 'concerns': 0})
+    start = first.document['revision']
+    began = time.monotonic()
+    document = {'value': 'A.1', 'concerns': start}
+    for proxy in proxies:
+        proxy.loses_answers = case.has_trouble()
+    asking = asyncio.create_task(put_until_answered(events, proxies, document, began + LOST_S + 6.0))
+    # The others begin once the put of A has taken effect, as anybody can read.
+    while (await system.operate('GET', f'/v1/cells/{KEY}')).document['value'] != 'A.1':
+        await asyncio.sleep(0.01)
+    watched = await system.operate('GET', f'/v1/watch/g1.?after={start}&wait_ms=0')
+    had = next(event['revision'] for event in watched.document['events'] if event['value'] == 'A.1')
+    events.write(f'a watch shows the value A.1 at revision {had}')
+    others = [
+        asyncio.create_task(write_on(system, events, f'caller{index}', index * PAUSE_S / OTHERS, began + LOST_S))
+        for index in range(OTHERS)
+    ]
+    await asyncio.sleep(max(0.0, began + LOST_S - 0.2 - time.monotonic()))
+    for proxy in proxies:
+        proxy.loses_answers = False
+    answer = await asking
+    await asyncio.gather(*others)
+    for proxy in proxies:
+        proxy.stop()
+    if answer is None:
+        raise deployment.CaseError('the put got no clear answer')
+    events.write(f'the put had revision {had}; sent again it got {answer.status} {answer.body.decode()}')
+    return answer.status == 412 or answer.document['revision'] != had
 
 
 if __name__ == '__main__':
-    case.run(play, os.path.dirname(os.path.abspath(__file__)), cores=CORES, machine_losses=LOST_DISKS)
+    case.run(play, os.path.dirname(os.path.abspath(__file__)))
