--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -42,6 +42,17 @@
     'release_ms': 1500,
     'ttl_max_s': 5,
 }
+# The bounds of the site amdls-lend-grown, where two machines with a disk may be lost (grown/LATER.md).
+GROWN_BOUNDS = {
+    **BOUNDS,
+    'acknowledge_ms': 5000,
+    'catch_up_s': 6,
+    'drain_ms': 2500,
+    'config_apply_ms': 2500,
+    'stretch_limit_ms': 6000,
+    'retry_budget_slack': 204,
+    'cold_slack': 8,
+}
 PORTS = {'front_http': 8641, 'readiness': 8640, 'control_plane': 8649, 'directory_service': 8644}
 SERVES = {
     'core': ('control_plane', 'directory_service'),
@@ -108,7 +119,7 @@
                 'zones': 1,
                 'region_losses': 1,
             },
-            'bounds': BOUNDS,
+            'bounds': GROWN_BOUNDS if self.deployment.machine_losses > 1 else BOUNDS,
             'configuration_mode': 'parts',
         }
 
