Review: the put's case ends by count, not by time

What was seen: on a loaded machine the other callers made too few puts within 3 s, and the case held once. Now they make 30 within 5 s, or the case says that it could not run.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,8 +12,11 @@
 import common.record as record
 
 KEY = 'g1.2d'
-# The answers to one caller are lost for so long; it sends its put again after each second of silence.
-LOST_S = 3.0
+# The answers to one caller are lost until the others have made so many puts, some two seconds, and for 5 s at the most;
+# it sends its put again after each second of silence.
+PUTS, LOST_MOST_S = 30, 5.0
+# How much longer it may go on asking.
+ASKED_S = 6.0
 # The other callers of the small deployment: three, each with a read and a put every so many seconds. Together with the
 # one whose answers are lost they make no more than the 41 calls a second of the deployment.
 OTHERS = 3
@@ -21,21 +24,27 @@
 SILENCE_S = 1.0
 
 
-async def write_on(
-    system: deployment.Deployment, events: record.Record, name: str, delay_s: float, until: float
-) -> None:
-    """One of the other callers: reads the key and writes it at the revision that it read."""
-    number = 0
-    await asyncio.sleep(delay_s)
-    while time.monotonic() < until:
-        began = time.monotonic()
-        read = await system.operate('GET', f'/v1/cells/{KEY}')
-        revision = read.document['revision'] if read.status == 200 else 0
-        number += 1
-        document = {'value': f'{name}.{number}', 'concerns': revision}
-        answer = await system.operate('PUT', f'/v1/cells/{KEY}', document)
-        events.write(f'{name} puts {document}: {answer.status} {answer.body.decode()}')
-        await asyncio.sleep(max(0.0, began + PAUSE_S - time.monotonic()))
+class Others:
+    """The other callers, who write the key until they have made enough puts or the time is over."""
+
+    def __init__(self, system: deployment.Deployment, events: record.Record, until: float):
+        self.system, self.events, self.until = system, events, until
+        self.puts = 0
+
+    async def write_on(self, name: str, delay_s: float) -> None:
+        """One caller: reads the key and writes it at the revision that it read."""
+        number = 0
+        await asyncio.sleep(delay_s)
+        while self.puts < PUTS and time.monotonic() < self.until:
+            began = time.monotonic()
+            read = await self.system.operate('GET', f'/v1/cells/{KEY}')
+            revision = read.document['revision'] if read.status == 200 else 0
+            number += 1
+            document = {'value': f'{name}.{number}', 'concerns': revision}
+            answer = await self.system.operate('PUT', f'/v1/cells/{KEY}', document)
+            self.puts += answer.status == 200
+            self.events.write(f'{name} puts {document}: {answer.status} {answer.body.decode()}')
+            await asyncio.sleep(max(0.0, began + PAUSE_S - time.monotonic()))
 
 
 async def put_until_answered(
@@ -74,26 +83,23 @@
     document = {'value': 'A.1', 'concerns': start}
     for proxy in proxies:
         proxy.loses_answers = case.has_trouble()
-    asking = asyncio.create_task(put_until_answered(events, proxies, document, began + LOST_S + 6.0))
+    asking = asyncio.create_task(put_until_answered(events, proxies, document, began + LOST_MOST_S + ASKED_S))
     # The others begin once the put of A has taken effect, as anybody can read.
     while (await system.operate('GET', f'/v1/cells/{KEY}')).document['value'] != 'A.1':
         await asyncio.sleep(0.01)
     watched = await system.operate('GET', f'/v1/watch/g1.?after={start}&wait_ms=0')
     had = next(event['revision'] for event in watched.document['events'] if event['value'] == 'A.1')
     events.write(f'a watch shows the value A.1 at revision {had}')
-    others = [
-        asyncio.create_task(write_on(system, events, f'caller{index}', index * PAUSE_S / OTHERS, began + LOST_S))
-        for index in range(OTHERS)
-    ]
-    await asyncio.sleep(max(0.0, began + LOST_S - 0.2 - time.monotonic()))
+    others = Others(system, events, began + LOST_MOST_S)
+    await asyncio.gather(*(others.write_on(f'caller{index}', index * PAUSE_S / OTHERS) for index in range(OTHERS)))
+    events.write(f'the others have made {others.puts} puts; answers are lost no more')
     for proxy in proxies:
         proxy.loses_answers = False
     answer = await asking
-    await asyncio.gather(*others)
     for proxy in proxies:
         proxy.stop()
-    if answer is None:
-        raise deployment.CaseError('the put got no clear answer')
+    if answer is None or others.puts < PUTS:
+        raise deployment.CaseError('the put got no clear answer, or the others were too slow')
     events.write(f'the put had revision {had}; sent again it got {answer.status} {answer.body.decode()}')
     return answer.status == 412 or answer.document['revision'] != had
 
