--- a/features/never_open.feature
+++ b/features/never_open.feature
@@ -19,7 +19,7 @@
       | lost           | finishing before the end | roll_term_fronts         | 1,2   |
       | held           | patience                 | cold_crowd               | 1,2   |
       | led_away       | homes of lookups         | roll_term_region         | 1,2   |
-      | gone           | cancelling               | give_up                  | 3     |
+      | gone           | cancelling               | give_up                  | 3,4   |
       | budget         | the repeat bound         | answer_lost_often+crowd  | 1,2   |
       | failback       | turns at the cold        | cold_crowd               | 1,2,3 |
       | home           | home                     | zone_loss                | 1     |
--- a/features/platform_settings.feature
+++ b/features/platform_settings.feature
@@ -20,8 +20,21 @@
       | repeat_window_ms   | 10000                        |
       | repeat_share       | 0.2                          |
       | repeat_allowance   | 52                           |
+      | first_start        | true                         |
+      | least_voters       | 3                            |
     And a core machine's become, beside these, two doors, its data folder, and the directory's duty
 
+  Scenario Outline: What a control node is told of the first start and of the losses to be borne reaches it
+    Guards against review/1: nothing read these fields.
+    When the setting <place> is <value>
+    Then the flag <flag> is <becomes>
+    Examples:
+      | place                          | value | flag         | becomes |
+      | first_start                    | true  | first_start  | true    |
+      | first_start                    | false | first_start  | false   |
+      | fault_tolerance.machine_losses | 0     | least_voters | 1       |
+      | fault_tolerance.machine_losses | 2     | least_voters | 5       |
+
   Scenario Outline: One field
     When the setting <place> is <value>
     Then the settings are <verdict>
@@ -57,6 +70,10 @@
       | bounds.ttl_max_s                 | true               | told at bounds.ttl_max_s |
       | bounds.retry_budget_ratio        | {}                 | told at bounds.retry_budget_ratio |
       | beat_interval_ms                 | "x"                | told at beat_interval_ms |
+      | first_start                      | gone               | told at first_start   |
+      | first_start                      | "false"            | told at first_start   |
+      | first_start                      | 0                  | told at first_start   |
+      | fault_tolerance.machine_losses   | "1"                | told at fault_tolerance.machine_losses |
     Examples: fine
       | place                            | value              | verdict               |
       | seed_nodes                       | []                 | fine                  |
@@ -76,6 +93,9 @@
       | a_later_field                    | {"x": [7]}         | fine                  |
       | listen_addresses.a_later_one     | 7                  | fine                  |
       | contracts                        | 7                  | fine                  |
+      | first_start                      | false              | fine                  |
+      | fault_tolerance                  | gone               | fine                  |
+      | fault_tolerance.machine_losses   | 2                  | fine                  |
       | limits                           | null               | fine                  |
       | serves                           | []                 | fine                  |
 
--- a/features/steps/edge_disk_steps.py
+++ b/features/steps/edge_disk_steps.py
@@ -179,7 +179,7 @@
         voter_host.peers.send = lambda address, frame, packs: None
         voter_host.feed('start')
         if voter.is_empty():
-            voter.bootstrap.take_first_version('c' * 32, [voter.node])
+            voter.formation.take_first_version('c' * 32, [voter.node])
         for number in range(first_number, first_number + VERSIONS_PER_LIFE):
             take_version(voter_host, voter, number)
         voter.persistence.write_snapshot()
@@ -264,7 +264,14 @@
 
 @behave.when('a control node starts on it while {refusal}')
 def control_node_starts(context, refusal: str):
-    context.disk.write('node', storage.encode({'id': 'before', 'format': storage.FORMAT}))
+    identity: storage.NodeFile = {
+        'id': 'before',
+        'format': storage.FORMAT,
+        'may_form': True,
+        'promised': None,
+        'earlier_sets': [],
+    }
+    context.disk.write('node', storage.encode(identity))
     context.before = context.disk.load()
     context.disk.lock.close()
     if 'no lock file' in refusal:
--- a/features/steps/first_start_steps.py
+++ b/features/steps/first_start_steps.py
@@ -104,16 +104,6 @@
         context.first_start.run(simulated, first_start.FORMING_TIME)
 
 
-def assert_all_joined(simulated, formed: set[str]):
-    """All processes that are up are in the cluster that formed, and know its leader."""
-    nodes = [node for node in simulated.nodes.values() if node.up]
-    assert {node.machine.cluster for node in nodes} == formed, (
-        simulated.seed,
-        [(node.name, node.machine.cluster, node.machine.mode) for node in nodes],
-    )
-    assert simulated.leader() and all(node.machine.leader for node in nodes), simulated.seed
-
-
 @behave.then('in the end there is {count} cluster, and never two')
 def cluster_count_is(context, count: str):
     for simulated in context.first_start.worlds:
@@ -121,7 +111,7 @@
         wanted = 1 if count == 'one' else 0
         assert len(formed) == wanted, (simulated.seed, formed, simulated.lines[-20:])
         if count == 'one':
-            assert_all_joined(simulated, formed)
+            first_start.assert_all_joined(simulated, formed)
 
 
 # -- nodes that join later ----------------------------------------------------------
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -59,6 +59,11 @@
         context.faults = e.faults
 
 
+@behave.then('the flag {flag} is {value}')
+def flag_is(context, flag: str, value: str):
+    assert by_flag(context.lines)[flag] == value, context.lines
+
+
 @behave.then('the settings are told at {place}')
 def settings_fault_told_at(context, place):
     assert [p for p, _ in context.faults] == [place], context.faults
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -38,6 +38,7 @@
         'zones': {'z': 'r'},
         'internal_port_range': [port, port + 1],
         'seed_nodes': ['127.0.0.1:1'],
+        'first_start': True,
         'listen_addresses': {'front_http': f'127.0.0.1:{port + 2}', 'readiness': f'127.0.0.1:{port + 3}'},
         'bounds': {'contact_ms': 5000, 'ttl_max_s': 1},
         'beat_interval_ms': 1500,
--- a/features/steps/unformed_steps.py
+++ b/features/steps/unformed_steps.py
@@ -12,15 +12,28 @@
 ROUNDS_BEFORE_FORMING = 3
 
 
-def start_with_frozen_node(seed, length_ms):
-    """(world, node): a start whose node that forms the cluster is frozen in the round before it would do so."""
+def is_about_to_form(node) -> bool:
+    """Whether a control node forms a cluster in its next round."""
+    return node.machine.bootstrap.stable_rounds == ROUNDS_BEFORE_FORMING
+
+
+def has_proposed(node) -> bool:
+    """Whether a control node has proposed a cluster, which it forms once the promises have reached it."""
+    return node.machine.formation.proposal is not None
+
+
+MOMENTS = {'in the round before it forms': is_about_to_form, 'once it has proposed its cluster': has_proposed}
+
+
+def start_with_frozen_node(seed, length_ms, has_come):
+    """(world, node): a start whose node that forms the cluster is frozen once a moment has come for it."""
     small_world = world.World(seed)
     client_deployment.Deployment(small_world, deployments.PRESETS['small'])
     for node in small_world.nodes.values():
         small_world.after(ms(small_world.rng.uniform(0, 300)), node.start)
     small_world.run(ms(301))
     former = min(small_world.of('core'), key=lambda node: node.machine.node)
-    assert small_world.run(ms(20000), lambda: former.machine.bootstrap.stable_rounds == ROUNDS_BEFORE_FORMING), seed
+    assert small_world.run(ms(20000), lambda: has_come(former)), seed
     former.pause(ms(length_ms))
     return small_world, former
 
@@ -30,9 +43,9 @@
     return any(fields and fields['event'] == 'abandon' for _, _, fields in node.log_records)
 
 
-@behave.given('a small start whose former is frozen for {length:d} ms in the round before it forms')
-def start_frozen(context, length: int):
-    context.starts = [start_with_frozen_node(seed, length) for seed in range(1, 5)]
+@behave.given('a small start whose former is frozen for {length:d} ms {moment}')
+def start_frozen(context, length: int, moment: str):
+    context.starts = [start_with_frozen_node(seed, length, MOMENTS[moment]) for seed in range(1, 5)]
 
 
 @behave.when('30 s have gone by')
--- a/features/support/first_start.py
+++ b/features/support/first_start.py
@@ -71,3 +71,13 @@
         if node.name not in skipped:
             spread = ms(simulated.rng.uniform(0, START_SPREAD_MS))
             simulated.after(delay(node) + spread, node.start)
+
+
+def assert_all_joined(simulated: world.World, formed: set[str]) -> None:
+    """All processes that are up are in the cluster that formed, and know its leader."""
+    nodes = [node for node in simulated.nodes.values() if node.up]
+    assert {node.machine.cluster for node in nodes} == formed, (
+        simulated.seed,
+        [(node.name, node.machine.cluster, node.machine.mode) for node in nodes],
+    )
+    assert simulated.leader() and all(node.machine.leader for node in nodes), simulated.seed
--- a/features/unformed.feature
+++ b/features/unformed.feature
@@ -3,18 +3,21 @@
   it wakes, also where the others have formed one without it by then. Seeds 1 to 4
   of the simulator, three control nodes.
 
-  Scenario Outline: Frozen for <length> ms just before it forms
-    Given a small start whose former is frozen for <length> ms in the round before it forms
+  Scenario Outline: Frozen for <length> ms <moment>
+    Given a small start whose former is frozen for <length> ms <moment>
     When 30 s have gone by
     Then one cluster leads, and all three control nodes vote in it
     Examples:
-      | length |
-      | 2000   |
-      | 3500   |
-      | 6000   |
+      | length | moment                            |
+      | 2000   | in the round before it forms      |
+      | 3500   | in the round before it forms      |
+      | 6000   | in the round before it forms      |
+      | 2000   | once it has proposed its cluster  |
+      | 3500   | once it has proposed its cluster  |
+      | 6000   | once it has proposed its cluster  |
 
   Scenario Outline: Restarted right after it gave its own cluster up, <how>
-    Given a small start whose former is frozen for 4000 ms in the round before it forms
+    Given a small start whose former is frozen for 4000 ms once it has proposed its cluster
     When it has given its own cluster up it is <how>, and 30 s have gone by
     Then one cluster leads, and all three control nodes vote in it
     Examples:
--- a/zinctrail/cli/controller.py
+++ b/zinctrail/cli/controller.py
@@ -24,12 +24,15 @@
         raise errors.SettingsError('--data: is missing')
     location.directory = program.FLAGS.directory
     disk = transport_disk.Disk(program.FLAGS.data)
+    if disk.has_set_aside():
+        location.first_start = False
     try:
         return controller.Controller(location, settings_, rng, disk.load()), disk
     except errors.CorruptionError as error:
         # A node whose memory has holes must not vote under the identity that made promises, so it gets a new one.
         aside = disk.set_aside()
         absl.logging.error('core: data is damaged (%s); moved to %s, starts with a new identity.', error, aside)
+        location.first_start = False
         return controller.Controller(location, settings_, rng, {}), disk
 
 
--- a/zinctrail/consensus/bootstrap.py
+++ b/zinctrail/consensus/bootstrap.py
@@ -1,31 +1,26 @@
-"""Forming a cluster whose first nodes nobody listed, and leaving one that never formed."""
+"""When the control nodes that are there may form a cluster: nobody lists the first ones."""
 
 import dataclasses
 import datetime
-import random
 import typing
-import uuid
 
 import zinctrail.consensus.codec as codec
 import zinctrail.consensus.discovery as discovery
+import zinctrail.consensus.formation as formation
 import zinctrail.consensus.messages as messages
 import zinctrail.consensus.node_location as node_location
-import zinctrail.consensus.persistence as persistence
 import zinctrail.consensus.replica as replica
-import zinctrail.consensus.storage as storage
 import zinctrail.runtime.parsing as parsing
 import zinctrail.runtime.settings as settings
 
-# The version that a new cluster is formed with.
-FIRST_VERSION = (0, 1)
 # How many seeds of another process are taken up: its list is short, and what it may make us probe is bounded.
 SEEDS_MOST = 16
 # What other processes said of their seeds counts for so many probe intervals.
 NAMED_SEEDS_FOR_PROBES = 10
 # In so many discovery rounds in a row all must agree on the set before a cluster is formed.
 STABLE_ROUNDS = 4
-# After so many rounds the first version is taken also by nodes that did not see the same set.
-ROUNDS_BEFORE_RESUMING = 10
+# The same where there is something to wait for: more nodes, or the leader of a cluster that forms.
+LATE_STABLE_ROUNDS = 25
 # In one of so many rounds it is logged why no cluster is formed.
 ROUNDS_PER_LOG = 25
 SILENT_SEEDS_LOGGED = 10
@@ -42,6 +37,12 @@
     view: list[str] | None
     has_enough_seeds: bool
     cluster: str
+    may_form: bool
+    promise_number: int
+
+    def knows_cluster(self) -> bool:
+        """Whether the node belongs to a cluster that has formed, or may have."""
+        return bool(self.cluster) and self.view is None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,23 +61,20 @@
     silent: list[str]
 
 
-class FormingVoter(typing.Protocol):
+class DiscoveringVoter(typing.Protocol):
     """What Bootstrap needs of the voter that it belongs to."""
 
     node: str
     now: datetime.timedelta
-    rng: random.Random
     location: node_location.NodeLocation
     settings: settings.Settings
     cluster: str
-    term: int
     replica: replica.Replica
-    persistence: persistence.Persistence
+    formation: formation.Formation
     discovery_rounds: int
-    stopping: bool
 
-    def is_empty(self) -> bool:
-        """Whether this node holds no state and belongs to no cluster."""
+    def is_forming(self) -> bool:
+        """Whether this node belongs to no cluster that has formed, as far as it knows."""
 
     def answering_control_nodes(self) -> dict[str, str]:
         """The control nodes that were heard lately: {node: address}."""
@@ -84,22 +82,14 @@
     def is_answering(self, address: str) -> bool:
         """Whether the node at an address was heard lately."""
 
-    def send_message(self, address: str, message: codec.Message) -> None:
-        """Send a message."""
-
     def log(self, text: str, event: str = '', **fields) -> None:
         """Log a sentence, and what one would search for."""
 
-    def accept(
-        self, version: messages.Version, base: messages.Version, rows: list | None, tables: dict[str, dict] | None
-    ) -> None:
-        """Accept a version: its rows on `base`, or whole tables."""
-
 
 class Bootstrap:
-    """What a voter knows and does to form a cluster together with the other control nodes without state."""
+    """What a voter hears of the other control nodes, and when they form a cluster together."""
 
-    def __init__(self, voter: FormingVoter):
+    def __init__(self, voter: DiscoveringVoter):
         self.voter = voter
         self.restart()
 
@@ -112,15 +102,12 @@
         # The control nodes heard of in the last round, and in how many rounds all agreed on just these.
         self.last_view: list[str] | None = None
         self.stable_rounds = 0
-        # Which nodes have the first version; None where this node has not taken it in this run.
-        self.first_version_nodes: set[str] | None = None
-        self.spread_rounds = 0
 
     # -- what others say --------------------------------------------------
 
     def note_named_seeds(self, message: messages.Probe | messages.ProbeResponse):
-        """Remember the seeds that another process names, while this node is without state."""
-        if self.voter.is_empty():
+        """Remember the seeds that another process names, while this node belongs to no cluster that has formed."""
+        if self.voter.is_forming():
             seeds = [seed for seed in message.seeds or () if parsing.is_address(seed)][:SEEDS_MOST]
             self.named_seeds[codec.sender_of(message).address] = NamedSeeds(self.voter.now, seeds)
 
@@ -136,6 +123,8 @@
             message.view,
             message.has_enough_seeds or False,
             codec.sender_of(message).cluster,
+            message.may_form or False,
+            message.promise_number or 0,
         )
 
     def forget_old_views(self):
@@ -183,35 +172,59 @@
 
     def run_round(self):
         """In each discovery round of a candidate: form a cluster, or spread the first version of a new one."""
-        if self.voter.is_empty():
+        if self.voter.replica.accepted == formation.FIRST_VERSION:
+            self.voter.formation.spread_first_version()
+        if self.voter.is_forming():
             self.try_to_form()
-        elif self.voter.replica.accepted == FIRST_VERSION:
-            self.spread_first_version()
 
     def try_to_form(self):
         """Form a cluster once all control nodes have agreed on the set for some rounds.
 
         Seeds stand in for a list of initial nodes, which nobody gives us, so
         enough of them must answer, no node may know a cluster, and all must have
-        heard of the same set. The first node of the set forms the cluster.
+        heard of the same set. The first of those that may form a cluster proposes it
+        to the others (formation.py); the rest of the set joins it later.
         """
         view = self.control_nodes_heard()
         agrees = self.all_agree_on(view)
         self.stable_rounds = self.stable_rounds + 1 if agrees and view == self.last_view else 0
         self.last_view = view
         self.log_why_waiting(agrees)
-        if self.stable_rounds >= STABLE_ROUNDS and view[0] == self.voter.node:
-            cluster = uuid.UUID(int=self.voter.rng.getrandbits(128), version=4).hex
-            self.voter.log(f'Forms cluster {cluster} of {len(view)}.', 'form', cluster=cluster, nodes=view)
-            self.take_first_version(cluster, view)
-            self.spread_first_version()
+        founders = self.founders_heard()
+        if not self.may_propose(view, founders):
+            self.voter.formation.withdraw()
+        elif founders[0] == self.voter.node:
+            self.voter.formation.propose(founders)
+
+    def may_propose(self, view: list[str], founders: list[str]) -> bool:
+        """Whether the control nodes have agreed for long enough, and enough of them may form a cluster.
+
+        Those that may are more than half: two seeds without their disks and a third one would be enough seeds, and
+        still see little of the system. A set too small to bear the losses that it has to waits for more nodes, and
+        a cluster whose first version some of them have is given time to elect a leader.
+        """
+        is_small = len(view) < self.voter.settings.least_voters
+        is_forming = bool(self.voter.cluster) or any(other.cluster for other in self.fresh_views().values())
+        rounds = LATE_STABLE_ROUNDS if is_small or is_forming else STABLE_ROUNDS
+        return self.stable_rounds >= rounds and 2 * len(founders) > len(view)
+
+    def founders_heard(self) -> list[str]:
+        """The control nodes heard lately that may form a cluster, sorted."""
+        founders = {node for node, view in self.fresh_views().items() if view.may_form}
+        if self.voter.formation.is_founder():
+            founders.add(self.voter.node)
+        return sorted(founders & set(self.control_nodes_heard()))
+
+    def newest_promise_heard(self) -> int:
+        """The highest number of a promise that a control node has told lately."""
+        return max((view.promise_number for view in self.fresh_views().values()), default=0)
 
     def all_agree_on(self, view: list[str]) -> bool:
         """Whether a cluster of this set may be formed, as all of its nodes say."""
         views = self.fresh_views()
         return (
             self.has_enough_seeds()
-            and not any(other.cluster for other in views.values())
+            and not any(other.knows_cluster() for other in views.values())
             and all(
                 node in views and views[node].view == view and views[node].has_enough_seeds
                 for node in view
@@ -221,10 +234,13 @@
 
     def log_why_waiting(self, agrees: bool):
         """Log now and then why nothing forms yet: whoever starts the machines has to know."""
-        if agrees or self.voter.discovery_rounds % ROUNDS_PER_LOG:
+        is_waiting = not agrees or not self.voter.formation.may_form
+        if not is_waiting or self.voter.discovery_rounds % ROUNDS_PER_LOG:
             return
         counts = self.seed_counts()
-        if not self.has_enough_seeds():
+        if not self.voter.formation.may_form:
+            self.voter.log('Waits to join: its disk is empty, but this is no first start, so it forms no cluster.')
+        elif not self.has_enough_seeds():
             self.voter.log(
                 f'Waits to form: {counts.answering} of {counts.named} seeds named by all we hear answer,'
                 f' two thirds must; silent: {", ".join(counts.silent[:SILENT_SEEDS_LOGGED])}.'
@@ -232,47 +248,3 @@
         else:
             nodes = len(self.control_nodes_heard())
             self.voter.log(f'Waits to form: not all of the {nodes} control nodes heard of agree on the set.')
-
-    def take_first_version(self, cluster: str, view: list[str]):
-        """Accept the first version of a new cluster, whose voters are `view`."""
-        self.voter.cluster = cluster
-        self.forget_named_seeds()
-        configuration = {'committed': view, 'accepted': view}
-        tables = {'meta': {'cluster': cluster, 'vc': configuration, 'boot': view, 'routes': list(FIRST_VERSION)}}
-        self.voter.persistence.write_term()
-        self.voter.accept(FIRST_VERSION, storage.NO_VERSION, None, tables)
-        self.first_version_nodes = {self.voter.node}
-
-    def spread_first_version(self):
-        """Ask the set to take the first version, until a majority has.
-
-        After some rounds it is taken also by nodes that did not see the same set:
-        a node of the set that is lost for good must not stop the others for ever.
-        """
-        view = self.voter.replica.latest('meta', 'boot')
-        addresses = self.voter.answering_control_nodes()
-        self.spread_rounds += 1
-        for node in view:
-            if node in addresses and node not in (self.first_version_nodes or ()):
-                resumed = self.spread_rounds > ROUNDS_BEFORE_RESUMING
-                self.voter.send_message(addresses[node], messages.Bootstrap(view=view, resumed=resumed))
-
-    def on_bootstrap(self, message: messages.Bootstrap):
-        """Take the first version, if our own view of the set confirms it, and answer whether we have it."""
-        view = message.view
-        is_confirmed = self.control_nodes_heard() == view or self.last_view == view or message.resumed
-        if is_confirmed and self.voter.is_empty() and self.voter.node in view and not self.voter.stopping:
-            self.take_first_version(codec.sender_of(message).cluster, view)
-        is_accepted = (
-            self.voter.cluster == codec.sender_of(message).cluster and self.voter.replica.accepted >= FIRST_VERSION
-        )
-        self.voter.send_message(codec.sender_of(message).address, messages.BootstrapResponse(is_accepted=is_accepted))
-
-    def on_bootstrap_response(self, message: messages.BootstrapResponse):
-        """Count a node that has the first version."""
-        if message.is_accepted and self.voter.replica.accepted == FIRST_VERSION:
-            self.first_version_nodes = (self.first_version_nodes or {self.voter.node}) | {codec.sender_of(message).node}
-
-    def is_first_version_settled(self) -> bool:
-        """Whether a majority of its set has taken the first version, which counts only then."""
-        return replica.quorum(self.first_version_nodes or (), self.voter.replica.latest('meta', 'boot'))
--- a/zinctrail/consensus/cluster_replacement.py
+++ b/zinctrail/consensus/cluster_replacement.py
@@ -10,6 +10,7 @@
 import zinctrail.consensus.bootstrap as bootstrap
 import zinctrail.consensus.codec as codec
 import zinctrail.consensus.election as election
+import zinctrail.consensus.formation as formation
 import zinctrail.consensus.messages as messages
 import zinctrail.consensus.persistence as persistence
 import zinctrail.consensus.replica as replica
@@ -26,6 +27,7 @@
     timers: dict[str, datetime.timedelta]
     replica: replica.Replica
     bootstrap: bootstrap.Bootstrap
+    formation: formation.Formation
     election: election.Election
     persistence: persistence.Persistence
 
@@ -45,14 +47,20 @@
     def answer_probe(self, address: str) -> None:
         """Tell a node who we are, which control nodes we heard, and who leads."""
 
+    def on_probe(self, message: messages.Probe) -> None:
+        """Remember who probes and which seeds it names, and answer."""
+
+    def on_probe_response(self, message: messages.ProbeResponse) -> None:
+        """Remember what a node said."""
+
     def note_node(self, address: str, node: str = '', role: str = '', seen: bool = False) -> None:
         """Remember a node that was mentioned, or that was itself `seen`."""
 
     def restart_discovery(self) -> None:
         """Begin a round of probes at once."""
 
-    def forget_cluster(self, successor: codec.Sender) -> None:
-        """Forget our cluster and its state, and look for that of `successor`."""
+    def forget_cluster(self) -> None:
+        """Forget our cluster and its state, and look for others."""
 
     def raise_term(self, term: int, vote: str | None = None) -> None:
         """Enter a newer term, and vote in it; durable before anything that follows leaves this process."""
@@ -123,20 +131,34 @@
         elif isinstance(message, messages.ProbeResponse) and self.is_unformed() and message.leader and message.term > 0:
             self.abandon_unformed(codec.sender_of(message))
             return True
-        return False
+        return self.is_unformed() and self.take_while_unformed(message)
+
+    def take_while_unformed(self, message: codec.Message) -> bool:
+        """Whether a message of another cluster serves to form one together, as neither may have formed yet."""
+        voter = self.voter
+        if isinstance(message, messages.Probe):
+            voter.on_probe(message)
+        elif isinstance(message, messages.ProbeResponse):
+            voter.on_probe_response(message)
+        elif isinstance(message, messages.FormationProposal):
+            voter.formation.on_proposal(message)
+        elif isinstance(message, messages.FormationPromise):
+            voter.formation.on_promise(message)
+        else:
+            return False
+        return True
 
     def is_unformed(self) -> bool:
         """Whether we took a first version, but never voted, nor heard of a leader under it."""
         voter = self.voter
-        return voter.replica.accepted == bootstrap.FIRST_VERSION and voter.term == 0 and not self.replaced_by
+        return voter.replica.accepted == formation.FIRST_VERSION and voter.term == 0 and not self.replaced_by
 
     def abandon_unformed(self, successor: codec.Sender):
         """Forget a cluster that never formed here, as another did.
 
         Nothing rests on what is forgotten: no vote was cast and no leader's
         version accepted. The other cluster leads, so a majority of its set took
-        its first version; sets that form have majorities that meet, and each node
-        takes one, so ours can not form any more.
+        its first version; the promises before it (formation.py) let no other one form.
         """
         voter = self.voter
         voter.log(
@@ -144,8 +166,17 @@
             'abandon',
             cluster=successor.cluster,
         )
+        # The other cluster stands: without state, this node may only join it.
+        voter.formation.forbid()
         voter.bootstrap.restart()
+        voter.note_node(successor.address, successor.node, 'core', seen=True)
+        self.forget_unformed()
+
+    def forget_unformed(self):
+        """Forget the first version of a cluster that did not form, and write the identity anew."""
+        voter = self.voter
+        voter.formation.restart()
         voter.election.abandon()
-        voter.forget_cluster(successor)
+        voter.forget_cluster()
         # Only the state is forgotten: that nothing was voted for, which the term file says, stays true.
         voter.persistence.forget_state()
--- a/zinctrail/consensus/election.py
+++ b/zinctrail/consensus/election.py
@@ -5,8 +5,8 @@
 import typing
 import zlib
 
-import zinctrail.consensus.bootstrap as bootstrap
 import zinctrail.consensus.codec as codec
+import zinctrail.consensus.formation as formation
 import zinctrail.consensus.messages as messages
 import zinctrail.consensus.replica as replica
 import zinctrail.consensus.storage as storage
@@ -40,7 +40,7 @@
     # Why the last leader was lost.
     leader_loss_reason: str
     replica: replica.Replica
-    bootstrap: bootstrap.Bootstrap
+    formation: formation.Formation
     stopping: bool
     # What each member that votes for it said it has: {node: version}.
     reported_versions: dict[str, messages.Version]
@@ -144,7 +144,7 @@
         accepted = voter.replica.accepted
         if voter.mode != 'candidate' or voter.disk_failed or voter.stopping or accepted == storage.NO_VERSION:
             return False
-        return accepted != bootstrap.FIRST_VERSION or voter.bootstrap.is_first_version_settled()
+        return accepted != formation.FIRST_VERSION or voter.formation.is_first_version_settled()
 
     # -- pre-votes --------------------------------------------------------
 
--- a/zinctrail/consensus/member.py
+++ b/zinctrail/consensus/member.py
@@ -155,14 +155,14 @@
         self.lease_until = None
         self.heartbeats_received.clear()
         self.timers.pop('leader', None)
-        self.forget_cluster(message.sender)
+        self.note_node(message.sender.address, message.sender.node, 'core', seen=True)
+        self.forget_cluster()
 
-    def forget_cluster(self, successor: codec.Sender):
-        """Forget our cluster and its state, and look for that of a control node of another one."""
+    def forget_cluster(self):
+        """Forget our cluster and its state, and look for others."""
         self.cluster = ''
         self.replica.reset()
         self.applied(None)
-        self.note_node(successor.address, successor.node, 'core', seen=True)
         self.restart_discovery()
 
     # -- versions ---------------------------------------------------------
--- a/zinctrail/consensus/messages.py
+++ b/zinctrail/consensus/messages.py
@@ -46,9 +46,12 @@
 
     member: MemberRow = codec.required('member', field_checks.is_member)
     seeds: list[str] | None = codec.optional('seeds', field_checks.list_of(field_checks.is_text))
-    # Of a node without state: the control nodes it heard of lately, and whether enough of its seeds answer.
+    # Of a node whose cluster has not formed: the control nodes it heard of lately, whether enough of its seeds answer,
+    # whether it may form a cluster, and the number of its newest promise to do so.
     view: list[str] | None = codec.optional('view', field_checks.list_of(field_checks.is_text))
     has_enough_seeds: bool | None = codec.optional('seeds_ok', field_checks.is_flag)
+    may_form: bool | None = codec.optional('may_form', field_checks.is_flag)
+    promise_number: int | None = codec.optional('promise', field_checks.is_count)
 
 
 @codec.register('probe_re')
@@ -64,6 +67,8 @@
     seeds: list[str] = codec.required('seeds', field_checks.list_of(field_checks.is_text))
     view: list[str] | None = codec.optional('view', field_checks.list_of(field_checks.is_text))
     has_enough_seeds: bool | None = codec.optional('seeds_ok', field_checks.is_flag)
+    may_form: bool | None = codec.optional('may_form', field_checks.is_flag)
+    promise_number: int | None = codec.optional('promise', field_checks.is_count)
 
 
 @codec.register('join')
@@ -107,13 +112,32 @@
     clusters: list[str] = codec.required('of', field_checks.list_of(field_checks.is_text))
 
 
+@codec.register('form')
+@dataclasses.dataclass(slots=True, kw_only=True)
+class FormationProposal(codec.Message):
+    """Asks a node without state to promise that it forms a cluster with these nodes, and no other one."""
+
+    cluster: str = codec.required('for', field_checks.is_text)
+    # Above that of any promise that was made before.
+    number: int = codec.required('number', field_checks.is_count)
+    nodes: list[str] = codec.required('view', field_checks.list_of(field_checks.is_text))
+
+
+@codec.register('form_re')
+@dataclasses.dataclass(slots=True, kw_only=True)
+class FormationPromise(codec.Message):
+    """Answers a FormationProposal: the promise is durable."""
+
+    cluster: str = codec.required('for', field_checks.is_text)
+
+
 @codec.register('boot')
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Bootstrap(codec.Message):
-    """Asks a node without state to take the first version of a new cluster."""
+    """Asks a node that promised it to take the first version of a new cluster."""
 
     view: list[str] = codec.required('view', field_checks.list_of(field_checks.is_text))
-    # Whether members of the set were silent for so long that the others go on without having seen the same set.
+    # Read by releases that knew no promises.
     resumed: bool = codec.required('resumed', field_checks.is_flag)
 
 
--- a/zinctrail/consensus/node_location.py
+++ b/zinctrail/consensus/node_location.py
@@ -1,4 +1,4 @@
-"""Where a process runs: its addresses, its zone, and the seeds it starts from."""
+"""What a process is told at its start: its addresses, its zone, its seeds, and whether the whole system starts."""
 
 import dataclasses
 import typing
@@ -6,7 +6,7 @@
 
 @dataclasses.dataclass
 class NodeLocation:
-    """Where a process runs; all of it comes from its settings."""
+    """Where a process runs and how it starts; all of it comes from its settings."""
 
     addr: str
     http: str
@@ -16,6 +16,8 @@
     front: str = ''
     # Whether this control node also has a directory's role.
     directory: bool = False
+    # Whether the whole system starts for the first time, so that a control node without state may form a cluster.
+    first_start: bool = True
 
 
 def region_of(zones: typing.Mapping[str, typing.Mapping[str, typing.Any]], zone: str) -> str:
--- a/zinctrail/consensus/persistence.py
+++ b/zinctrail/consensus/persistence.py
@@ -29,6 +29,9 @@
     settings: settings.Settings
     out: list
 
+    def identity(self) -> storage.NodeFile:
+        """Who this voter is, and its part in forming a cluster."""
+
     def log(self, text: str, event: str = '', **fields: typing.Any) -> None:
         """Log a sentence about an event."""
 
@@ -78,8 +81,7 @@
 
     def write_identity(self, obsolete: typing.Iterable[str] = (), may_be_open: bool = False) -> None:
         """Write the file `node`, then forget the `obsolete` files."""
-        identity: storage.NodeFile = {'id': self.voter.node, 'format': storage.FORMAT}
-        self.folder.write('node', identity, obsolete, may_be_open)
+        self.folder.write('node', self.voter.identity(), obsolete, may_be_open)
 
     def write_term(self) -> None:
         """Write the term and the vote in it."""
--- a/zinctrail/consensus/storage.py
+++ b/zinctrail/consensus/storage.py
@@ -1,6 +1,6 @@
 """How a voter's durable state is laid out in its data folder, without touching a disk.
 
-  node          the node's id, and the format of the folder (1 where none is given)
+  node          the node's id, the format of the folder (1 where none is given), and its part in forming a cluster
   term          the current term, and the vote in it
   ckpt-G-T      a snapshot: the whole state as of generation G, accepted in term T
   gen-G-T       the rows of one version, and the version they build on
@@ -25,11 +25,25 @@
 Version = tuple[int, int]
 
 
+class PromisedSet(typing.TypedDict):
+    """The cluster that a node has promised to form, and the nodes that form it."""
+
+    cluster: str
+    # Rises with each promise of a node.
+    number: int
+    nodes: list[str]
+
+
 class NodeFile(typing.TypedDict):
     """The file `node`."""
 
     id: str
     format: typing.NotRequired[int]
+    # Whether the node may form a cluster: it was there when the whole system first started, and kept its disk since.
+    may_form: typing.NotRequired[bool]
+    promised: typing.NotRequired[PromisedSet | None]
+    # The nodes of the clusters that it has promised to form before.
+    earlier_sets: typing.NotRequired[list[list[str]]]
 
 
 class TermFile(typing.TypedDict):
--- a/zinctrail/consensus/voter.py
+++ b/zinctrail/consensus/voter.py
@@ -14,6 +14,7 @@
 import zinctrail.consensus.codec as codec
 import zinctrail.consensus.data_folder as data_folder
 import zinctrail.consensus.election as election
+import zinctrail.consensus.formation as formation
 import zinctrail.consensus.graceful_shutdown as graceful_shutdown
 import zinctrail.consensus.history as history
 import zinctrail.consensus.leadership as leadership
@@ -49,6 +50,9 @@
     ):
         files = files or {}
         node, cluster, term, vote, loaded = storage.load(files)
+        identity = storage.load_node(files) if 'node' in files else None
+        if identity and formation.is_given_up(identity, cluster, loaded.accepted, term):
+            cluster, loaded = '', replica.Replica()
         # Where each control node was last heard of: {node: address}.
         self.control_node_addresses: dict[str, str] = {}
         super().__init__(location, node_settings, rng, node or '')
@@ -71,7 +75,8 @@
         self.cluster_replacement = cluster_replacement.ClusterReplacement(self, replaced_by)
         # Stands for election, and votes for others.
         self.election = election.Election(self)
-        # Forms a cluster together with other control nodes without state.
+        # Hears of the other control nodes without state, and forms a cluster together with them.
+        self.formation = formation.Formation(self, identity, location.first_start)
         self.bootstrap = bootstrap.Bootstrap(self)
         # All that only a leader has; None unless this node leads.
         self.leadership: leadership.Leadership | None = None
@@ -142,6 +147,15 @@
         """Whether the disk can not be written."""
         return self.persistence.disk_failed
 
+    def identity(self) -> storage.NodeFile:
+        """The file `node`: who this voter is and, as long as its cluster may come not to form, its part in forming one."""
+        document: storage.NodeFile = {'id': self.node, 'format': storage.FORMAT}
+        if self.replica.accepted <= formation.FIRST_VERSION:
+            document['may_form'] = self.formation.may_form
+            document['promised'] = self.formation.promised
+            document['earlier_sets'] = self.formation.earlier_sets
+        return document
+
     def raise_term(self, term: int, vote: str | None = None):
         """Enter a newer term, and vote in it; durable before anything that follows leaves this process."""
         self.term = term
@@ -194,22 +208,27 @@
         """The addresses that are probed in this round.
 
         A leader goes on probing: a node all of whose seeds are stale is found at
-        its old address. A node without state probes all seeds that anybody names,
-        because whether they answer decides whether a cluster may be formed.
+        its old address. A node of no cluster that has formed probes all seeds that
+        anybody names, because whether they answer decides whether one may be formed.
         """
         if self.is_leader:
             members = {peer.address for peer in self.peers.values()}
             return sorted(address for address in self.known_nodes if address not in members)
         targets = super().discovery_targets()
-        if self.mode == 'candidate' and self.is_empty():
+        if self.mode == 'candidate' and self.is_forming():
             targets = sorted({*targets, *self.bootstrap.all_named_seeds()} - {self.location.addr})
         return targets
 
     def discovery_details(self) -> dict[str, typing.Any]:
-        """A node without state tells whom it heard of, and whether enough seeds answer it."""
-        if not self.is_empty():
+        """A node of no cluster that has formed tells whom it heard of, and what of it matters for forming one."""
+        if not self.is_forming():
             return {}
-        return {'view': self.bootstrap.control_nodes_heard(), 'has_enough_seeds': self.bootstrap.has_enough_seeds()}
+        return {
+            'view': self.bootstrap.control_nodes_heard(),
+            'has_enough_seeds': self.bootstrap.has_enough_seeds(),
+            'may_form': self.formation.is_founder(),
+            'promise_number': self.formation.promise_number(),
+        }
 
     def on_probe(self, message: messages.Probe):
         """Remember who probes and which seeds it names, and answer."""
@@ -239,13 +258,45 @@
         if self.replica.accepted > storage.NO_VERSION:
             self.election.plan()
 
+    def founders_heard(self) -> list[str]:
+        """The control nodes heard lately that may form a cluster, sorted."""
+        return self.bootstrap.founders_heard()
+
+    def newest_promise_heard(self) -> int:
+        """The highest number of a promise that a control node has told lately."""
+        return self.bootstrap.newest_promise_heard()
+
+    def joins_new_cluster(self):
+        """This node takes the first version of a cluster."""
+        self.bootstrap.stable_rounds = 0
+
+    def is_unformed(self) -> bool:
+        """Whether this node has only the first version of a cluster, and has not voted in it."""
+        return self.cluster_replacement.is_unformed()
+
+    def is_forming(self) -> bool:
+        """Whether this node belongs to no cluster that has formed, as far as it knows."""
+        return self.is_empty() or self.is_unformed()
+
+    def forget_unformed(self):
+        """Forget the first version of a cluster, and write the identity anew."""
+        self.cluster_replacement.forget_unformed()
+
+    def on_formation_proposal(self, message: messages.FormationProposal):
+        """Another node asks whether we form a cluster with it."""
+        self.formation.on_proposal(message)
+
+    def on_formation_promise(self, message: messages.FormationPromise):
+        """Another node forms a cluster with us."""
+        self.formation.on_promise(message)
+
     def on_bootstrap(self, message: messages.Bootstrap):
         """Another node forms a cluster."""
-        self.bootstrap.on_bootstrap(message)
+        self.formation.on_bootstrap(message)
 
     def on_bootstrap_response(self, message: messages.BootstrapResponse):
         """Another node says whether it has the first version of our cluster."""
-        self.bootstrap.on_bootstrap_response(message)
+        self.formation.on_bootstrap_response(message)
 
     # -- elections ----------------------------------------------------------
 
--- a/zinctrail/consensus/voter_status.py
+++ b/zinctrail/consensus/voter_status.py
@@ -60,6 +60,7 @@
             'answer': counts.answering,
             'silent': counts.silent,
             'control_nodes': node.bootstrap.control_nodes_heard(),
+            'only_joins': not node.formation.may_form,
         }
     if node.cluster_replacement.replaced_by:
         document['given_up_for'] = node.cluster_replacement.replaced_by
--- a/zinctrail/fleet/processes.py
+++ b/zinctrail/fleet/processes.py
@@ -122,11 +122,13 @@
 
     def _write_flags(self) -> str:
         """Write the process's flags, and return the file's name."""
+        is_first_start = self.child is None
         lines = [
             f'--addr={self.addr}',
             f'--http={self.http}',
             f'--cell={self.cell}',
             f'--seeds={",".join(self.seeds)}',
+            f'--first_start={str(is_first_start).lower()}',
             *self.fleet.extra_flags,
         ]
         if self.role == 'core':
--- a/zinctrail/runtime/settings.py
+++ b/zinctrail/runtime/settings.py
@@ -96,6 +96,8 @@
     body_most: int = 1 << 20
     config_most: int = 2 << 20
     frame_most: int = 32 << 20
+    # How many control nodes a new cluster waits for, so that it bears as many losses as it has to.
+    least_voters: int = 1
     # For how long a discovered node is remembered that is no member.
     remember: datetime.timedelta = ms(600000)
 
--- a/zinctrail/simulation/disk.py
+++ b/zinctrail/simulation/disk.py
@@ -6,11 +6,14 @@
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
 
+IDENTITY = 'node'
+
 
 class Disk:
     """One machine's disk: what is synced survives a power loss, what is not may be lost."""
 
-    # Tests switch this off to show that the loss of unsynced writes is noticed.
+    # Tests switch this off to show that the loss of unsynced writes is noticed: of all but the identity, since a node
+    # that has lost that, too, waits for the others and shows nobody an older state.
     syncs = True
 
     def __init__(self):
@@ -65,6 +68,8 @@
             self.only_removed.difference_update(obsolete)
         if self.syncs:
             self.synced = dict(self.files)
+        elif name == IDENTITY:
+            self.synced[name] = text
 
     def power_lost(self) -> None:
         """Go back to what was synced."""
--- a/zinctrail/simulation/faults/open_processes.py
+++ b/zinctrail/simulation/faults/open_processes.py
@@ -211,7 +211,7 @@
     world = day.world
     old = day.pick('core')
     name = f'core{10 + world.sequence}'
-    new = world.add(name, 'core', old.location.cell, list(old.location.seeds), directory=True)
+    new = world.add(name, 'core', old.location.cell, list(old.location.seeds), directory=True, first_start=False)
     new.start()
     day.later(ms(1500), terminate, day, old, False)
     day.later(ms(8500), lambda: world.nodes.pop(old.name, None))
--- a/zinctrail/simulation/faults/processes.py
+++ b/zinctrail/simulation/faults/processes.py
@@ -166,7 +166,7 @@
     old = day.pick('core')
     old.kill()
     name = f'core{10 + world.sequence}'
-    new = world.add(name, 'core', old.location.cell, old.location.seeds)
+    new = world.add(name, 'core', old.location.cell, old.location.seeds, first_start=False)
     day.later(ms(2000), new.start)
     # Removed from the world, so that no other fault starts it again.
     day.later(ms(2000), lambda: world.nodes.pop(old.name))
--- a/zinctrail/simulation/first_starts.py
+++ b/zinctrail/simulation/first_starts.py
@@ -1,5 +1,7 @@
 """First starts under many seeds: each process has its own seeds, of any role, never itself, some stale.
 
+`cut_short` has all processes lose power, once or twice, while the cluster forms, and some control nodes lose their disks.
+
   python -m zinctrail.simulation.first_starts --search=200 [--seed=1] [--shape=accra] [--stale=0.2] [--how=split]
       [--at-once=8]
 
@@ -18,8 +20,13 @@
 
 ms = durations.ms
 
-# How the processes start: all at once, over half a minute, under loss, or cut into two groups.
-HOWS = ('together', 'late', 'lossy', 'split', 'split_uneven', 'split_roles')
+# How the processes start: all at once, over half a minute, under loss, cut into two groups, or cut short.
+HOWS = ('together', 'late', 'lossy', 'split', 'split_uneven', 'split_roles', 'cut_short')
+# The most disks that are lost by a first start that is cut short, and when it is cut short, the second time too.
+MOST_DISKS_LOST = 2
+CUT_SHORT_FROM_MS, CUT_SHORT_BY_MS = 600, 4000
+# How much later than the others a process may come back, and how many processes are so late, as a share.
+LATE_BACK_MS, LATE_BACK_SHARE = 20000, 0.3
 SEEDS_EACH = 3
 
 
@@ -60,6 +67,8 @@
         for node in world.nodes.values():
             world.after(ms(self.rng.uniform(0, latest_ms)), node.start)
         world.loss = 0.1 if self.how == 'lossy' else 0.0
+        if self.how == 'cut_short':
+            self.cut_short()
         if self.how.startswith('split'):
             self.split()
             world.run(ms(30000), self.look)
@@ -80,6 +89,22 @@
             side = set(self.rng.sample(names, count))
         self.world.partition(side)
 
+    def cut_short(self) -> None:
+        """End the start once or twice while the cluster forms; as many disks are lost in all as a majority bears."""
+        control_nodes = self.world.of('core')
+        lost = self.rng.sample(control_nodes, min(MOST_DISKS_LOST, (len(control_nodes) - 1) // 2))
+        for is_last in (False, True) if self.rng.random() < 0.5 else (True,):
+            self.world.run(ms(self.rng.uniform(CUT_SHORT_FROM_MS, CUT_SHORT_BY_MS)), self.look)
+            for node in self.world.nodes.values():
+                node.kill(power=True)
+            for node in lost if is_last else lost[:1]:
+                node.disk.wipe()
+            if not is_last:
+                lost = lost[1:]
+            for node in self.world.nodes.values():
+                late_ms = LATE_BACK_MS if self.rng.random() < LATE_BACK_SHARE else 0
+                self.world.after(ms(self.rng.uniform(0, 500 + late_ms)), node.start)
+
     def look(self) -> bool:
         """Note which clusters can act; always false, so that a run goes on."""
         self.clusters |= {
--- a/zinctrail/simulation/node.py
+++ b/zinctrail/simulation/node.py
@@ -95,6 +95,8 @@
         self.exited = False
         self.refuses_connections = False
         self.machine = self.new_machine(random.Random(f'{self.world.seed}/{self.name}/{self.incarnation}'))
+        # Any later start is not that of the whole system.
+        self.location.first_start = False
         if self.level is not None:
             self.machine.level = self.level
         self.feed('start')
@@ -109,6 +111,7 @@
         except errors.CorruptionError as error:
             self.world.log(f'{self.name}: damaged, set aside: {error}')
             self.disk.files = {}
+            self.location.first_start = False
             return controller.Controller(self.location, settings, rng, {})
 
     def kill(self, power: bool = False) -> None:
--- a/zinctrail/simulation/world.py
+++ b/zinctrail/simulation/world.py
@@ -51,17 +51,20 @@
         addr: str | None = None,
         front: bool = False,
         directory: bool = False,
+        first_start: bool = True,
     ) -> simulated_node.Node:
         """Add a process that is not started yet.
 
         :param front: whether it also accepts open traffic, at an address of its own.
         :param directory: whether a control node also serves as a directory.
+        :param first_start: whether its first start is part of that of the whole system.
         """
         # Counted over all that ever were: an address is not used again, even when its machine is lost for good.
         number = len(self.by_address) + 1
         addr = addr or f'10.0.{number >> 8}.{number & 255}:1000'
         http = addr.rpartition(':')[0] + ':80'
-        location = node_location.NodeLocation(addr, http, cell, list(seeds), http + '80' if front else '', directory)
+        front_address = http + '80' if front else ''
+        location = node_location.NodeLocation(addr, http, cell, list(seeds), front_address, directory, first_start)
         node = simulated_node.Node(self, name, role, location)
         if front:
             self.by_http[node.location.front] = simulated_node.Front(node)
--- a/zinctrail/transport/disk.py
+++ b/zinctrail/transport/disk.py
@@ -19,6 +19,8 @@
 # How many files that are no longer needed are kept for reuse. Without a limit, a folder would keep growing when
 # little is written.
 MAX_REUSABLE = 512
+# How the names of folders begin that hold damaged data.
+ASIDE_PREFIX = 'damaged-'
 # The file without which nothing else in the folder counts (consensus/storage.py).
 IDENTITY = 'node'
 FILE_MODE = 0o644
@@ -104,14 +106,20 @@
         self.multiply_linked = {name for names in by_inode.values() if len(names) > 1 for name in names}
         return files
 
+    def has_set_aside(self) -> bool:
+        """Whether damaged data was ever moved aside: the folder may then be empty and still not new."""
+        return any(name.startswith(ASIDE_PREFIX) for name in os.listdir(self.folder))
+
     def set_aside(self) -> str:
         """Move damaged data into a folder of its own, and return that folder.
 
         The identity is moved first, and durably: a folder that loses power
         during this must not name a voter that has lost its memory.
         """
-        aside = os.path.join(self.folder, f'damaged-{time.strftime("%Y%m%dT%H%M%S")}-{os.getpid()}')
+        aside = os.path.join(self.folder, f'{ASIDE_PREFIX}{time.strftime("%Y%m%dT%H%M%S")}-{os.getpid()}')
         os.mkdir(aside)
+        # Before anything is moved there: without its entry the folder would look like a new one.
+        sync_folder(self.folder)
         for name in sorted(os.listdir(self.folder), key=lambda name: name != IDENTITY):
             path = os.path.join(self.folder, name)
             if name != 'lock' and os.path.isfile(path):
--- a/zinctrail/transport/program.py
+++ b/zinctrail/transport/program.py
@@ -47,6 +47,12 @@
     absl.flags.DEFINE_list(
         'seeds', [], 'Up to a few IP:PORT of other processes, of any role; they may be stale.', flag_values=flags
     )
+    absl.flags.DEFINE_bool(
+        'first_start',
+        True,
+        'Whether the whole system starts for the first time; if not, a control node with an empty disk only joins.',
+        flag_values=flags,
+    )
     absl.flags.DEFINE_string(
         'front', '', 'IP:PORT where a proxy takes open traffic, matched by host and path.', flag_values=flags
     )
@@ -118,7 +124,9 @@
     faults += [f'--{name}: {text}' for name, text in read_settings(flags).faults()]
     if faults:
         raise errors.SettingsError('\n'.join(faults))
-    return node_location.NodeLocation(flags.addr, flags.http, flags.cell, list(flags.seeds), flags.front)
+    return node_location.NodeLocation(
+        flags.addr, flags.http, flags.cell, list(flags.seeds), flags.front, first_start=flags.first_start
+    )
 
 
 class Configuration(typing.NamedTuple):
