--- /dev/null
+++ b/features/repeated_orders.feature
@@ -0,0 +1,35 @@
+Feature: An order that comes again is known for a time, however many others came between
+  Guards against review/4: a put that took effect got 412 when it came again after 24 others, since its register
+  remembered values by count.
+
+  Scenario Outline: A put that comes again after <others> others at 41 a second, <condition>
+    Given a control node that leads, and a put of A.1 <condition>
+    When callers make <others> other puts on its key, 41 a second
+    Then the put gets the revision that it got first, and nothing is written
+    And a put of a value that nobody wrote, <condition>, is refused or written as it says
+    Examples:
+      | others | condition            |
+      | 24     | at its revision      |
+      | 30     | at its revision      |
+      | 400    | at its revision      |
+      | 2000   | at its revision      |
+      | 24     | at any revision      |
+      | 30     | at any revision      |
+      | 2000   | at any revision      |
+
+  Scenario: Puts on other keys of a group between are not taken for those of a key
+    Given a control node that leads, and a put of A.1 at its revision
+    When callers make 40 other puts on its key and as many on others of its group, in turn
+    Then the put gets the revision that it got first, and nothing is written
+
+  Scenario: A put that comes again to the next leader gets the revision that it got first
+    Given a control node that leads, and a put of A.1 at its revision
+    When callers make 60 other puts on its key, 41 a second
+    And the node leads anew, and knows only the replicated state
+    Then the put gets the revision that it got first, and nothing is written
+
+  Scenario: What is remembered of puts is bounded by time
+    Given a control node that leads, and a put of A.1 at its revision
+    When callers make 400 other puts on its key, 41 a second
+    And the history's time goes by twice
+    Then of the puts only the last values of the key are left
--- a/zinctrail/control/registers.py
+++ b/zinctrail/control/registers.py
@@ -1,8 +1,10 @@
 """Registers: named values in groups, for callers whose calls carry no id.
 
 The interface calls them cells (`cell.put`, ...). A caller writes unique values,
-so a retry is recognized by its value. Each group has a revision of its own that
-rises with every write to one of its registers; watches are over whole groups.
+so a retry is recognized by its value: for as long as the history of the group
+is kept, and later still if it is one of the register's last values. Each group
+has a revision of its own that rises with every write to one of its registers;
+watches are over whole groups.
 """
 
 import typing
@@ -21,7 +23,7 @@
 CHANGES_TABLE = 'changes'
 # {group: the revision up to which its changes were dropped}
 OLDEST_TABLE = 'floors'
-# Earlier values by which retries are recognized: writes are retried for seconds, and registers change less often.
+# Earlier values that a register keeps itself, so that most retries are recognized without a look at the history.
 PAST_VALUES_KEPT = 24
 
 
@@ -61,7 +63,7 @@
     if args.get('rev') is not None:
         arguments.whole_number(args, 'rev', 0, arguments.MAX_EXACT_INTEGER)
     row = txn.get(TABLE, name)
-    written_at = _revision_of(row, value)
+    written_at = _revision_of(txn, name, row, value, args.get('rev') or 0)
     if written_at is not None:
         return replies.ok(rev=written_at)
     keys.check_revision(args, row['rev'] if row else 0)
@@ -108,11 +110,30 @@
     return replies.ok(events=events, rev=present)
 
 
-def _revision_of(row: RegisterRow | None, value: str) -> int | None:
-    """The revision that wrote a value, as far as the register remembers."""
-    for written, revision in [*row['past'], (row['value'], row['rev'])] if row else ():
+def _revision_of(
+    txn: transactions.Transaction, name: str, row: RegisterRow | None, value: str, after: int
+) -> int | None:
+    """The revision above `after` that wrote a value, as far as the register or the history remembers."""
+    if row is None:
+        return None
+    for written, revision in [*row['past'], (row['value'], row['rev'])]:
         if written == value:
             return revision
+    if len(row['past']) < PAST_VALUES_KEPT:
+        # Nothing that it ever held is missing.
+        return None
+    return _revision_in_history(txn, name, value, after, row['past'][0][1])
+
+
+def _revision_in_history(txn: transactions.Transaction, name: str, value: str, after: int, before: int) -> int | None:
+    """The revision between two others that wrote a value to a register, as far back as the history of its group goes."""
+    group = group_of(name)
+    for revision in range(before - 1, after, -1):
+        change = txn.get(CHANGES_TABLE, _change_key(group, revision))
+        if change is None:
+            return None
+        if change['name'] == name and change['value'] == value:
+            return revision
     return None
 
 
