An order on a zone is known for an epoch, and not for the next 16 orders

What callers saw, or could see: an evacuation whose answer was lost acts again, over a withdrawal that was acknowledged since, where 17 other orders on its zone came between.

Change: the ids of an epoch are kept until the end of the next one. More than 512 an epoch are refused with 503, so that what was taken is never forgotten and the row stays bounded.

Evidence: red before, features/repeated_orders.feature on: 409 with the present number after 17 and after 301 others, on which the calling node acts anew. Now it is acknowledged and the zone stays as it is.

--- a/features/repeated_orders.feature
+++ b/features/repeated_orders.feature
@@ -33,3 +33,19 @@
     When callers make 400 other puts on its key, 41 a second
     And the history's time goes by twice
     Then of the puts only the last values of the key are left
+
+  Scenario Outline: An evacuation that comes again after <others> others acts no second time
+    Given a control node that leads, and an order that empties a zone
+    When <others> other orders on the zone are acknowledged, the last of which takes that back
+    Then the order is acknowledged once more, and the zone stays as it is
+    Examples:
+      | others |
+      | 15     |
+      | 17     |
+      | 301    |
+
+  Scenario: What is remembered of evacuations is bounded by time, and by refusing
+    Given a control node that leads, and an order that empties a zone
+    When orders on the zone come without a pause until one is refused
+    Then it was refused with 503 and did nothing
+    And once the time of two epochs has gone by, an order is taken, and few are remembered
--- a/zinctrail/control/epochs.py
+++ b/zinctrail/control/epochs.py
@@ -4,6 +4,7 @@
 
 import zinctrail.consensus.transactions as transactions
 import zinctrail.control.controller_part as controller_part
+import zinctrail.control.evacuations as evacuations
 import zinctrail.control.replies as replies
 import zinctrail.control.retention as retention
 import zinctrail.control.version_contents as version_contents
@@ -34,6 +35,7 @@
             txn.put('meta', 'epoch', epoch)
             retention.drop_expired(txn, epoch, controller.settings.epochs_kept)
             version_contents.trim(txn)
+            evacuations.forget_old_ids(txn)
             controller.singleton_roles.place(txn)
             return replies.ok()
 
--- a/zinctrail/control/evacuations.py
+++ b/zinctrail/control/evacuations.py
@@ -23,8 +23,8 @@
 
 TABLE = 'cell_orders'
 ZONES_TABLE = 'cells'
-# Twice as many as may be under way at once.
-IDS_KEPT = 16
+# How many orders on a zone are taken within an epoch; further ones are refused, so that all that were taken are known.
+MAX_IDS = 512
 # EndpointRow.chill of an endpoint that counts as cold until two heartbeats of its own have said otherwise.
 CHILLED = 2
 MAX_ZONE_LENGTH = 300
@@ -50,23 +50,41 @@
     if not isinstance(is_evacuation, bool):
         raise errors.BadRequestError('on must be true or false')
     order = _order(txn, zone)
-    ids = order['ids']
+    ids, earlier_ids = order['ids'], order.get('past', [])
     # Nodes of earlier releases send neither an id nor a number.
     if 'id' in args:
         order_id = arguments.text(args, 'id')
-        if order_id in ids:
+        if order_id in ids or order_id in earlier_ids:
             return replies.ok()
         number = arguments.whole_number(args, 'number', 0, arguments.MAX_EXACT_INTEGER, 0)
         # Orders that race for the same end need not wait for each other: at this moment it is as they want it.
         if number != order['number'] and _is_emptied(txn, zone) != is_evacuation:
             raise errors.ConflictError('another order on this cell was acknowledged first', number=order['number'])
-        ids = [*ids, order_id][-IDS_KEPT:]
-    new: rows.EvacuationOrderRow = {'number': order['number'] + 1, 'ids': ids}
-    txn.put(TABLE, zone, new)
+        if len(ids) >= MAX_IDS:
+            raise errors.UnavailableError('too many orders on this cell', retry_ms=RETRY_MS)
+        ids = [*ids, order_id]
+    txn.put(TABLE, zone, _order_row(order['number'] + 1, ids, earlier_ids))
     _set_emptied(txn, zone, is_evacuation)
     return replies.ok()
 
 
+def forget_old_ids(txn: transactions.Transaction) -> None:
+    """At the begin of an epoch, forget the orders that were taken before the epoch that has ended.
+
+    So each is known for an epoch at least, which is longer than a call is sent again for (setting `call`).
+    """
+    for zone, order in txn.items(TABLE).items():
+        if order['ids'] or order.get('past'):
+            txn.put(TABLE, zone, _order_row(order['number'], [], order['ids']))
+
+
+def _order_row(number: int, ids: list[str], earlier_ids: list[str]) -> rows.EvacuationOrderRow:
+    row: rows.EvacuationOrderRow = {'number': number, 'ids': ids}
+    if earlier_ids:
+        row['past'] = earlier_ids
+    return row
+
+
 def _zone(args: dict) -> str:
     return arguments.text(args, 'cell', MAX_ZONE_LENGTH)
 
--- a/zinctrail/control/rows.py
+++ b/zinctrail/control/rows.py
@@ -99,8 +99,9 @@
 
     # Rises with each order that is acknowledged.
     number: int
-    # The ids of the last orders, the oldest first.
+    # The ids of the orders that were taken in this epoch, the oldest first, and of those in the epoch before.
     ids: list[str]
+    past: typing.NotRequired[list[str]]
 
 
 # Table `goners`, tombstones: {incarnation: the epoch in which it was declared gone}. A second row, by
