A leader remembers results by time, and refuses what it has no room for

What callers saw, or could see: a copy of an operation acts a second time at the same leader after 4,096 others, within the seconds in which it is sent again; a number is given out twice for one call, a lock held anew.

Change: results are forgotten by their time alone. An operation whose result would find no room (65,536, with those under way) is refused with 503 before it is begun, which the requesting node treats like any refusal.

Evidence: red before, features/repeated_orders.feature on: after 5,000 other steps in 2 s the copy of the first got number 5,002 in place of 1. Now it gets 1; with room for 40, 20 of 60 are refused and never carried out.

--- a/features/repeated_orders.feature
+++ b/features/repeated_orders.feature
@@ -49,3 +49,14 @@
     When orders on the zone come without a pause until one is refused
     Then it was refused with 503 and did nothing
     And once the time of two epochs has gone by, an order is taken, and few are remembered
+
+  Scenario: An operation that comes again after 5000 others in two seconds acts no second time
+    Given a control node that leads, and a step of a number that b requests
+    When b requests 5000 other steps within 2 s
+    Then a copy of the first request gets the number that it got first
+
+  Scenario: What a leader remembers of operations is bounded by time, and by refusing
+    Given a control node that leads, with room for 40 results
+    When b requests 60 steps of a number at once
+    Then 40 of them are carried out, and the others are refused and never are
+    And once the time of a result has gone by, steps are carried out again
--- a/zinctrail/consensus/operations.py
+++ b/zinctrail/consensus/operations.py
@@ -4,7 +4,8 @@
 next one, so a leader may receive several copies of it. Three things keep a copy
 from acting a second time:
 
-- a leader remembers the results of its own term by the request's key;
+- a leader remembers the results of its own term by the request's key, for longer
+  than a request is sent again, and refuses further ones where that is too many;
 - a request names the heartbeat round that its sender saw last, and is refused
   once that round is older than any that a member in touch can name: a frame that
   was held up on its way acts at no later time, under no leader;
@@ -31,9 +32,9 @@
 if typing.TYPE_CHECKING:
     import zinctrail.consensus.leadership as leadership
 
-# How many results a leader remembers, and for how long.
-RESULTS_MOST = 4096
+# How long a leader remembers a result, and how many; one that it has no room for is not begun.
 RESULTS_KEPT = durations.ms(10000)
+RESULTS_MOST = 1 << 16
 
 Arguments = dict[str, typing.Any]
 Callback = typing.Callable[[typing.Any], typing.Any]
@@ -117,6 +118,9 @@
             self.send_result(message, results.TOO_LATE)
         elif self.may_be_done_already(message):
             self.send_result(message, results.LOST)
+        elif self.voter.has_effects(message.operation) and not self.has_room():
+            self.voter.counts['asks_without_room'] += 1
+            self.send_result(message, results.NO_ROOM)
         else:
             self.carry_out(message)
 
@@ -151,11 +155,19 @@
 
     def remember_result(self, key: str, result: results.OperationResult):
         """Keep a result, so that a copy of the request that is still on its way does not act a second time."""
-        kept = self.results
-        kept[key] = RememberedResult(self.voter.now, result)
+        self.results[key] = RememberedResult(self.voter.now, result)
+        self.forget_old_results()
+
+    def forget_old_results(self):
+        """Forget results that are so old that no copy of their request is on its way any more."""
         oldest = self.voter.now - RESULTS_KEPT
-        while kept and (len(kept) > RESULTS_MOST or next(iter(kept.values())).given_at < oldest):
-            kept.popitem(last=False)
+        while self.results and next(iter(self.results.values())).given_at < oldest:
+            self.results.popitem(last=False)
+
+    def has_room(self) -> bool:
+        """Whether the result of one more operation can be remembered."""
+        self.forget_old_results()
+        return len(self.results) + len(self.in_progress) < RESULTS_MOST
 
     def is_outdated(self, message: messages.OperationRequest) -> bool:
         """Whether a request was under way for so long that its caller may have gone on to something else."""
--- a/zinctrail/consensus/results.py
+++ b/zinctrail/consensus/results.py
@@ -31,5 +31,10 @@
     'fault': 'the call came too late to be done',
     'retry_ms': 300,
 }
+NO_ROOM: OperationResult = {
+    'status': 503,
+    'fault': 'the master carries out too many operations',
+    'retry_ms': 300,
+}
 # Not LOST, because an operation that found nothing to change may have been carried out by an earlier copy of it.
 UNSURE: OperationResult = {'status': 421, 'unknown': True, 'fault': 'not the master any more'}
