--- a/features/support/misbehaving_clients/crowd.py
+++ b/features/support/misbehaving_clients/crowd.py
@@ -43,12 +43,13 @@
         self.unsent = self.unsent[count:]
         return True
 
-    def has_answer_or_end(self) -> bool:
-        """Return True if there is something to read, or the connection has ended."""
+    def has_answer_or_end(self, wait_s: float = 0) -> bool:
+        """Return True if there is something to read, or the connection has ended, within `wait_s`."""
         if self.is_closed:
             return True
-        readable, _, _ = select.select([self.socket], [], [], 0)
-        return bool(readable)
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(1000 * wait_s))
 
     def close(self) -> None:
         """Close the connection."""
@@ -88,9 +89,8 @@
     def wait_for_answer(self, connection: CrowdConnection, limit_s: float) -> None:
         """Wait until a connection has a first byte of its answer, or has ended; the limit only guards against hanging."""
         limit = time.monotonic() + limit_s
-        while not connection.has_answer_or_end() and time.monotonic() < limit:
+        while not connection.has_answer_or_end(POLL_S) and time.monotonic() < limit:
             connection.send_more()
-            time.sleep(POLL_S / 10)
 
     def close(self) -> None:
         """Close all connections."""
--- a/zinctrail/transport/host.py
+++ b/zinctrail/transport/host.py
@@ -19,6 +19,7 @@
 import zinctrail.transport.clock as clock
 import zinctrail.transport.dialect as transport_dialect
 import zinctrail.transport.endpoint_client as endpoint_client
+import zinctrail.transport.header_names as header_names
 import zinctrail.transport.http_client as http_client
 import zinctrail.transport.open_traffic_server as open_traffic_server
 import zinctrail.transport.peer_connections as peer_connections
@@ -109,6 +110,7 @@
         )
         self.api = web.ApiResource(self)
         self.http_client = http_client.HttpClient(reactor, verifies=True)
+        header_names.limit_cache()
         self.endpoint_client = endpoint_client.EndpointClient(reactor)
         # {fetch id: outstanding call to an endpoint}.
         self.fetches: dict[int, defer.Deferred[effects.HttpResult]] = {}
