The header of an endpoint's answer is limited to 128 KB

Callers saw a proxy that grew while one request was answered: 150 MB of header lines cost it 540 MB. Cause: Twisted's client limits a line of a header, and neither their number nor their sum. The bytes that arrive before a header is complete are now counted; above 128 KB the connection is closed, its endpoint counts as one that breaks HTTP, and the caller gets 502 (the request may have run).

--- a/zinctrail/transport/endpoint_client.py
+++ b/zinctrail/transport/endpoint_client.py
@@ -25,6 +25,8 @@
 import zinctrail.transport.twisted_types as twisted_types
 
 MAX_RESPONSE_BYTES = 64 << 20
+# The limit of the header of a response.
+HEADER_LIMIT_BYTES = 128 << 10
 # Short, because nothing has been sent yet: another endpoint can still take the request before its deadline.
 CONNECT_TIMEOUT_S = 0.3
 MIN_CONNECT_TIMEOUT_S = 0.01
@@ -44,6 +46,9 @@
 # How many responses to earlier requests are skipped while waiting for the response to the current one.
 MAX_SKIPPED_RESPONSES = 2
 
+# The states of Twisted's parser before the body.
+HEADER_STATES = (newclient.STATUS, newclient.HEADER)
+
 # Returns True if a response with these headers belongs to the request that was sent.
 IsOwnResponse = typing.Callable[[dict[str, str]], bool]
 
@@ -87,6 +92,8 @@
     # Bytes received after a skipped response.
     unparsed = b''
     skipped_responses = 0
+    # The bytes of the header that is being received.
+    header_bytes = 0
 
     def connectionMade(self) -> None:
         """Set the socket options."""
@@ -107,6 +114,18 @@
         data, self.unparsed = self.unparsed + data, b''
         if data:
             super().dataReceived(data)
+            self.count_header(len(data))
+
+    def count_header(self, received: int) -> None:
+        """Count received bytes if the header is not complete yet; discard the connection above `HEADER_LIMIT_BYTES`."""
+        parser = self._parser
+        if parser is None or parser.state not in HEADER_STATES:
+            self.header_bytes = 0
+            return
+        self.header_bytes += received
+        if self.header_bytes > HEADER_LIMIT_BYTES:
+            self.distrust_endpoint()
+            self.discard()
 
     def _finishResponse_WAITING(self, rest: bytes) -> None:
         if self._parser is None:
