The body of an answer to a health check is limited to 64 KB

Operators saw a control node grow while it checked the health of endpoints that answered at length: eight answers of 60 MB cost it 564 MB. Cause: a health check was read like any answer, up to 64 MiB, though only its status and headers count. The connection now ends at 64 KB, and the check has failed. The stand-in of doubts.feature takes the limit, and checks that health checks carry this one.

--- a/features/steps/outlier_detection_steps.py
+++ b/features/steps/outlier_detection_steps.py
@@ -11,6 +11,7 @@
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
 import zinctrail.transport.dialect as dialect
+import zinctrail.transport.endpoint_client as endpoint_client
 import zinctrail.transport.host as host
 
 ms = durations.ms
@@ -114,8 +115,9 @@
     context.host.feed = lambda kind, *arguments: context.fed.append((kind, arguments))
 
 
-def fetch_by_plain_connection(incarnation, address, method, path, headers, body, timeout, once, is_ours):
-    """Return an endpoint's response to a health check; responses to requests must not be accepted for it."""
+def fetch_by_plain_connection(incarnation, address, method, path, headers, body, timeout, once, is_ours, limit_bytes):
+    """Return an endpoint's response to a health check; long ones, and responses to requests, must not be accepted."""
+    assert limit_bytes == endpoint_client.HEALTH_LIMIT_BYTES
     assert is_ours({}) and not is_ours({'zt-id': 'of a request'})
     return defer.succeed(effects.HttpResult(503, {'own-name': 'e1'}))
 
--- a/zinctrail/transport/endpoint_client.py
+++ b/zinctrail/transport/endpoint_client.py
@@ -25,8 +25,9 @@
 import zinctrail.transport.twisted_types as twisted_types
 
 MAX_RESPONSE_BYTES = 64 << 20
-# The limit of the header of a response.
+# The limit of the header of a response, and of the body of a response to a health check.
 HEADER_LIMIT_BYTES = 128 << 10
+HEALTH_LIMIT_BYTES = 64 << 10
 # Short, because nothing has been sent yet: another endpoint can still take the request before its deadline.
 CONNECT_TIMEOUT_S = 0.3
 MIN_CONNECT_TIMEOUT_S = 0.01
@@ -94,6 +95,8 @@
     skipped_responses = 0
     # The bytes of the header that is being received.
     header_bytes = 0
+    # The limit of the body of the response.
+    body_limit_bytes = MAX_RESPONSE_BYTES
 
     def connectionMade(self) -> None:
         """Set the socket options."""
@@ -300,6 +303,7 @@
         timeout: datetime.timedelta,
         at_most_once: bool,
         is_own_response: IsOwnResponse = lambda headers: True,
+        body_limit_bytes: int = MAX_RESPONSE_BYTES,
     ) -> defer.Deferred[effects.HttpResult]:
         """Send a request; the Deferred fires with an effects.HttpResult and never fails.
 
@@ -309,6 +313,7 @@
         """
         connection = self.take_idle(incarnation, at_most_once)
         if connection is not None:
+            connection.body_limit_bytes = body_limit_bytes
             return self.send(connection, method, path, headers, body, timeout, is_own_response)
         host, port = peer_connections.split_address(addr)
         self.opened += 1
@@ -316,6 +321,7 @@
         connection = EndpointConnection()
         # Set before the connection is opened, since it may end, or receive bytes, before `connected` is called.
         connection.incarnation, connection.owner = incarnation, self
+        connection.body_limit_bytes = body_limit_bytes
         connecting = protocol.ClientCreator(self.reactor, lambda: connection).connectTCP(
             host, port, timeout=min(CONNECT_TIMEOUT_S, max(MIN_CONNECT_TIMEOUT_S, timeout.total_seconds()))
         )
@@ -373,7 +379,7 @@
         """Read a response to its end, or the next one if this one belongs to another request."""
         breaks_protocol = violates_http(response, connection)
         complete: defer.Deferred[tuple[bytes, str]] = defer.Deferred()
-        response.deliverBody(response_body.ResponseBody(complete, MAX_RESPONSE_BYTES))
+        response.deliverBody(response_body.ResponseBody(complete, connection.body_limit_bytes))
 
         def body_read(body_and_error: tuple[bytes, str]) -> typing.Any:
             body, error = body_and_error
--- a/zinctrail/transport/host.py
+++ b/zinctrail/transport/host.py
@@ -334,6 +334,7 @@
             effect.wait,
             effect.at_most_once,
             is_own_response,
+            endpoint_client.MAX_RESPONSE_BYTES if is_request else endpoint_client.HEALTH_LIMIT_BYTES,
         )
         self.await_result(effect.fetch_id, call.addCallback(translated))
 
