Watches take half of a node's places for calls at most

Callers saw 503 (busy) for every call at a control node or a directory, for as long as 512 watches waited there: up to 25 s, or 50 s at the leader, and then again. Cause: watches wait for events, and counted like all other pending calls of a process (queue_most). They now take half of these places; one more is refused with 503 (nothing was done) and a Retry-After of one second. Red before: "Watches that stay ... leave room for other calls": a call was served only after the first watch had ended, 41 s. After: it is served at once, beside 255 watches of the crowd.

--- a/zinctrail/control/http_api.py
+++ b/zinctrail/control/http_api.py
@@ -18,6 +18,7 @@
 import zinctrail.control.evacuations as evacuations
 import zinctrail.control.recovery as recovery
 import zinctrail.control.replies as replies
+import zinctrail.control.watch_calls as watch_calls
 import zinctrail.errors as errors
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
@@ -101,6 +102,8 @@
         self.calls: dict[CallId, replies.Callback] = {}
         # The pending calls that take several operations in sequence: {respond: callback of the operation in progress}.
         self.call_steps: dict[replies.Callback, replies.Callback] = {}
+        # The pending calls that are watches.
+        self.watch_calls = watch_calls.WatchCalls(member)
 
     def serve(self, call_id: CallId, call: effects.HttpRequest) -> None:
         """Serve an HTTP call; it gets exactly one response."""
@@ -108,6 +111,7 @@
         def respond(result: replies.Result) -> None:
             # The result of an operation may come after its caller got a response or disconnected.
             self.call_steps.pop(respond, None)
+            self.watch_calls.end(respond)
             if self.calls.pop(call_id, None):
                 self.member.out.append(to_response(call_id, result))
 
@@ -132,6 +136,7 @@
         respond = self.calls.pop(call_id, None)
         if respond is not None:
             self.member.cancel_operation(self.call_steps.pop(respond, respond))
+            self.watch_calls.end(respond)
 
     def request_step(
         self,
@@ -319,12 +324,14 @@
 
 
 def _coordination_page(operation: str) -> Page:
-    timeout = WATCH_TIMEOUT if operation.endswith('.watch') else None
-
     def relay(member: ServingMember, call: effects.HttpRequest, body: dict, respond: replies.Callback) -> None:
-        member.request_operation(operation, body, respond, timeout)
+        member.request_operation(operation, body, respond)
+
+    def watch(member: ServingMember, call: effects.HttpRequest, body: dict, respond: replies.Callback) -> None:
+        member.http_api.watch_calls.begin(respond)
+        member.request_operation(operation, body, respond, WATCH_TIMEOUT)
 
-    return relay
+    return watch if operation.endswith('.watch') else relay
 
 
 for _operation in coordination.OPERATIONS:
