The leader drops a watch whose client has left

Callers saw 503 (too many watches) although nobody was watching: 512 clients that had opened a watch and left kept all others out for up to 60 s. Cause: the node that a client leaves forgets its call, but the leader heard nothing of it and kept the watch until its time was over. A watch now carries what identifies it, and a node whose client has left has the leader drop it (operation watch.cancel). A leader of an earlier release refuses that operation, and keeps the watch as it did; a node of an earlier release doesn't send it. Red before: "Watches that clients abandoned ... leave room for other watches": let in after 45 s, with the first watch over. After: let in at once.

--- a/zinctrail/control/http_api.py
+++ b/zinctrail/control/http_api.py
@@ -60,6 +60,7 @@
     """The interface of the member that serves the HTTP API."""
 
     now: datetime.timedelta
+    node: str
     settings: settings.Settings
     rng: random.Random
     out: list
@@ -136,7 +137,7 @@
         respond = self.calls.pop(call_id, None)
         if respond is not None:
             self.member.cancel_operation(self.call_steps.pop(respond, respond))
-            self.watch_calls.end(respond)
+            self.watch_calls.abandon(respond)
 
     def request_step(
         self,
@@ -328,8 +329,8 @@
         member.request_operation(operation, body, respond)
 
     def watch(member: ServingMember, call: effects.HttpRequest, body: dict, respond: replies.Callback) -> None:
-        member.http_api.watch_calls.begin(respond)
-        member.request_operation(operation, body, respond, WATCH_TIMEOUT)
+        watcher = member.http_api.watch_calls.begin(respond)
+        member.request_operation(operation, {**body, watch_calls.WATCHER: watcher}, respond, WATCH_TIMEOUT)
 
     return watch if operation.endswith('.watch') else relay
 
--- a/zinctrail/control/leader_operations.py
+++ b/zinctrail/control/leader_operations.py
@@ -10,12 +10,14 @@
 import zinctrail.control.controller_part as controller_part
 import zinctrail.control.coordination as coordination
 import zinctrail.control.replies as replies
+import zinctrail.control.watch_calls as watch_calls
 import zinctrail.control.watches as watches
 import zinctrail.errors as errors
 
 # The operations that may be carried out any number of times without a further effect: reads, watches and heartbeats.
 READS = (
     *watches.OPERATIONS,
+    watch_calls.CANCEL_OPERATION,
     'key.get',
     'cell.get',
     'lock.get',
@@ -50,6 +52,7 @@
     'status': lambda controller: controller.cluster_status.serve_status,
     'claim': lambda controller: controller.claim_service.serve_claim,
     'close': lambda controller: controller.claim_service.serve_close,
+    watch_calls.CANCEL_OPERATION: lambda controller: controller.watches.serve_cancel,
 }
 
 
--- a/zinctrail/control/watches.py
+++ b/zinctrail/control/watches.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import typing
 
 import zinctrail.consensus.replica as replica
 import zinctrail.consensus.results as results
@@ -12,13 +13,13 @@
 import zinctrail.control.keys as keys
 import zinctrail.control.registers as registers
 import zinctrail.control.replies as replies
+import zinctrail.control.watch_calls as watch_calls
 import zinctrail.errors as errors
 import zinctrail.runtime.durations as durations
 
 KEY_WATCH, REGISTER_WATCH = 'key.watch', 'cell.watch'
 OPERATIONS = (KEY_WATCH, REGISTER_WATCH)
 MAX_WAIT_MS = 60000
-RETRY_TOO_MANY_MS = 1000
 # The delay between an event's coming into force and the responses, so that all watches are served in one pass.
 EVENT_DELAY = durations.ms(1)
 # The tables of the events for which watches of keys and of registers wait.
@@ -33,6 +34,13 @@
     arguments: dict
     callback: replies.Callback
     deadline: datetime.timedelta
+    # True if its caller disconnected.
+    is_cancelled: bool = False
+
+    @property
+    def watcher(self) -> typing.Any:
+        """What identifies the watch; None if its caller's process belongs to an earlier release."""
+        return self.arguments.get(watch_calls.WATCHER)
 
     def waits_for_events(self) -> bool:
         """True if the watch waits for events; a watch of registers without a revision only asks for the current one."""
@@ -49,6 +57,8 @@
     def __init__(self, controller: controller_part.ControlNode):
         super().__init__(controller)
         self.waiting: list[Watch] = []
+        # {what identifies a watch: the watch}, while it reads the events that there are.
+        self.starting: dict[str, Watch] = {}
 
     def serve(self, operation: str, args: dict, callback: replies.Callback) -> None:
         """Respond to a watch at once if it has matching events, else let it wait; 503 if there are too many watches."""
@@ -56,9 +66,23 @@
         wait_ms = arguments.whole_number(args, 'wait_ms', 0, MAX_WAIT_MS, 0)
         watch = Watch(operation, args, callback, controller.now + durations.ms(wait_ms))
         if len(self.waiting) >= controller.settings.queue_most:
-            raise errors.UnavailableError('too many watches', retry_ms=RETRY_TOO_MANY_MS)
+            raise errors.UnavailableError('too many watches', retry_ms=watch_calls.RETRY_TOO_MANY_MS)
+        if isinstance(watch.watcher, str):
+            self.starting[watch.watcher] = watch
         controller.read(self._reader(watch), lambda result: self._respond_or_wait(watch, result))
 
+    def serve_cancel(self, args: dict, callback: replies.Callback) -> None:
+        """Serve operation `watch.cancel`: drop a watch whose caller has disconnected."""
+        watcher = arguments.text(args, watch_calls.WATCHER)
+        starting = self.starting.get(watcher)
+        if starting is not None:
+            starting.is_cancelled = True
+        cancelled = [watch for watch in self.waiting if watch.watcher == watcher]
+        self.waiting = [watch for watch in self.waiting if watch.watcher != watcher]
+        for watch in cancelled:
+            watch.callback(replies.ok())
+        callback(replies.ok())
+
     def _reader(self, watch: Watch) -> transactions.Work:
         """Return the work that reads the events that a watch waits for."""
 
@@ -68,9 +92,17 @@
         return read
 
     def _respond_or_wait(self, watch: Watch, result: replies.Result) -> None:
+        if isinstance(watch.watcher, str):
+            self.starting.pop(watch.watcher, None)
         has_events = result['status'] != 200 or result['events']
         is_overdue = self.controller.now >= watch.deadline
-        if has_events or is_overdue or not self.controller.is_leader or not watch.waits_for_events():
+        if (
+            watch.is_cancelled
+            or has_events
+            or is_overdue
+            or not self.controller.is_leader
+            or not watch.waits_for_events()
+        ):
             watch.callback(result)
             return
         if watch.operation == KEY_WATCH:
@@ -107,5 +139,6 @@
     def abandon(self) -> None:
         """Refuse all watches when leadership is lost, so that they continue at the next leader."""
         watches, self.waiting = self.waiting, []
+        self.starting.clear()
         for watch in watches:
             watch.callback(results.NO_LEADER)
