One account of the connections of clients at all listeners, from the descriptors

Callers saw processes that took every connection until no descriptor was left for peers, endpoints and the disk. Cause: only open traffic limited its connections, by a constant (3,000) that knew nothing of the machine, refused newcomers while others held half a header, and closed only idle ones; control plane, directory, readiness and metrics had no limit, and a call that came byte by byte never timed out.

All listeners of a process now have one kind of connection (transport/client_channel.py) in one account (transport/client_connections.py). At the limit it closes refused connections, then slow headers, idle ones, young headers, stalled and at last moving bodies; a request that was read is never closed; with none to close the newcomer gets 503. Each connection, its header and what is buffered behind it are held in an account of bytes (transport/byte_account.py) that has 0.9 of the memory beyond 64 MB for the process itself. API calls get a limit of 16 KB and 10 s for their header. memory_mb and file_descriptors of the platform's settings become flags of the programs. The metrics page shows connections, bytes held, closed and refused clients.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -41,6 +41,11 @@
       | open traffic of a proxy   | an answer with endless headers  |
       | control plane             | health answers without end      |
 
+  Scenario: Headers of many lines, at the control plane
+    Given a process with 2000 descriptors and the listener control plane
+    When a crowd comes with headers of many lines
+    Then an ordinary request is answered, and the process has kept within its limits
+
   Scenario: Watches that stay at the control plane leave room for other calls
     Given a process with the listener control plane and 2000 descriptors, and a watch that stays
     When a crowd comes with watches
--- a/features/platform_settings.feature
+++ b/features/platform_settings.feature
@@ -22,6 +22,8 @@
       | repeat_allowance   | 52                           |
       | first_start        | true                         |
       | least_voters       | 3                            |
+      | memory_mb          | 300                          |
+      | file_descriptors   | 4100                         |
     And the settings of a core machine also give two API addresses, the data folder and the directory flag
 
   Scenario Outline: What a control node is told of the first start and of the losses to be borne reaches it
--- a/features/steps/misbehaving_clients_steps.py
+++ b/features/steps/misbehaving_clients_steps.py
@@ -26,6 +26,12 @@
     context.site.begin(listener, memory_mb=memory_mb)
 
 
+@behave.given('a process with {count:d} descriptors and the listener {listener}')
+def process_with_more_descriptors(context, count: int, listener: str):
+    context.site = running_site()
+    context.site.begin(listener, file_descriptors=count)
+
+
 @behave.given('a process with the listener {listener} and {count:d} descriptors, and a watch that stays')
 def process_with_descriptors(context, listener: str, count: int):
     context.site = running_site()
@@ -74,6 +80,12 @@
     context.response = context.site.wait_for_success(lambda: context.site.request(path))
 
 
+@behave.when('a client sends a request of 64 MiB and asks for an answer of 64 MiB')
+def client_sends_and_asks_for_largest(context):
+    path = f'/{sites.LONG_ROUTE}/answer/{LARGEST_BYTES}'
+    context.response = context.site.wait_for_success(lambda: context.site.request(path, 'POST', b'b' * LARGEST_BYTES))
+
+
 @behave.then('it gets the whole answer, and the process has kept within its limits')
 def client_gets_whole_answer(context):
     assert len(context.response.body) == LARGEST_BYTES, len(context.response.body)
--- a/features/support/misbehaving_clients/crowds.py
+++ b/features/support/misbehaving_clients/crowds.py
@@ -9,6 +9,7 @@
 
 MIB = 1 << 20
 CONNECTIONS = 500
+CONNECTIONS_WITH_LINES, HEADER_LINES = 1200, 480
 # As much of a header as a client may send.
 HEADER_BYTES = 15000
 # Announced and sent bytes of unfinished bodies: open traffic allows 64 MiB, the API 2 MB.
@@ -49,6 +50,13 @@
     connect_many(site, CONNECTIONS, head + b'y' * (HEADER_BYTES - len(head)))
 
 
+def headers_of_many_lines(site: sites.Site) -> None:
+    """Send headers of many short lines that don't end."""
+    lines = b''.join(b'N%d: vvvvvvvvvvvvvvvvvvvvvv\r\n' % number for number in range(HEADER_LINES))
+    head = site.attempt_bytes(site.listener.path, header=lines)[:-2]
+    connect_many(site, CONNECTIONS_WITH_LINES, head)
+
+
 def unfinished_bodies(site: sites.Site) -> None:
     """Send most of long bodies, and stay."""
     if site.listener.address == 'ingress':
@@ -165,6 +173,7 @@
 ALL: dict[str, collections.abc.Callable[[sites.Site], None]] = {
     'connections that stay': stay,
     'unfinished headers': unfinished_headers,
+    'headers of many lines': headers_of_many_lines,
     'unfinished bodies': unfinished_bodies,
     'unread answers': unread_answers,
     'unread answers without a length': unread_answers_without_length,
--- a/features/support/misbehaving_clients/endpoint.py
+++ b/features/support/misbehaving_clients/endpoint.py
@@ -39,7 +39,7 @@
             connection.sendall(f'{head}Zinctrail-Instance: {self.identifier}\r\n\r\n'.encode())
             send_pieces(connection, self.health_body_bytes)
             return True
-        if len(parts) != 4 or parts[2] not in ANSWERS or request['method'] == 'POST' and parts[2] != 'hold':
+        if len(parts) != 4 or parts[2] not in ANSWERS:
             return super().respond(connection, request)
         self.executed.append(request)
         seal = endpoint.seal_of(request['id'], b'')
--- /dev/null
+++ b/zinctrail/runtime/process_limits.py
@@ -0,0 +1,46 @@
+"""What a process may hold for its clients, derived from the memory and the file descriptors of its machine."""
+
+import resource
+import typing
+
+import zinctrail.runtime.settings as settings
+
+MEGABYTE = 10**6
+# The memory of the process itself: code, replicated state, connections to its peers.
+PROCESS_BYTES = 64 * MEGABYTE
+# The share of the remaining memory that may be held; the rest is lost to fragmentation and to short-lived copies.
+HELD_SHARE = 0.9
+# What may be held on however small a machine.
+MIN_HELD_BYTES = 8 * MEGABYTE
+# One part in this many of what may be held is kept for small requests and responses.
+SMALL_DIVISOR = 8
+# The descriptors that are kept for files: half of them, and at most this many.
+FILE_DESCRIPTORS = 200
+# The share of the other descriptors that may be connections of clients; the rest is for endpoints, peers and the disk.
+CLIENT_SHARE = 0.58
+
+
+class ProcessLimits(typing.NamedTuple):
+    """What a process may hold for its clients: bytes, and numbers of connections."""
+
+    held_bytes: int
+    # The part of `held_bytes` that only small requests and responses may use.
+    small_bytes: int
+    client_connections: int
+
+
+def process_limits(settings_: settings.Settings) -> ProcessLimits:
+    """Return the limits of a process with these settings."""
+    held_bytes = max(MIN_HELD_BYTES, int(HELD_SHARE * (settings_.memory_mb * MEGABYTE - PROCESS_BYTES)))
+    sockets = settings_.file_descriptors - min(FILE_DESCRIPTORS, settings_.file_descriptors // 2)
+    return ProcessLimits(
+        held_bytes,
+        held_bytes // SMALL_DIVISOR,
+        max(1, int(CLIENT_SHARE * sockets)),
+    )
+
+
+def within_system_limit(file_descriptors: int) -> int:
+    """Return a number of file descriptors, at most the limit that the system sets for this process."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return file_descriptors if soft_limit == resource.RLIM_INFINITY else min(file_descriptors, soft_limit)
--- a/zinctrail/runtime/settings.py
+++ b/zinctrail/runtime/settings.py
@@ -99,6 +99,9 @@
     frame_most: int = 32 << 20
     # How many control nodes a new cluster waits for, so that it tolerates the required number of losses.
     least_voters: int = 1
+    # The memory of the machine in MB, of which a part may be held for clients, and the limit of file descriptors.
+    memory_mb: int = 160
+    file_descriptors: int = 4096
     # For how long a discovered node that is not a member is remembered.
     remember: datetime.timedelta = ms(600000)
 
--- a/zinctrail/transport/host.py
+++ b/zinctrail/transport/host.py
@@ -14,8 +14,10 @@
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
 import zinctrail.runtime.metrics as metrics
+import zinctrail.runtime.process_limits as process_limits
 import zinctrail.runtime.request_sampling as request_sampling
 import zinctrail.runtime.settings as settings
+import zinctrail.transport.client_connections as client_connections
 import zinctrail.transport.clock as clock
 import zinctrail.transport.dialect as transport_dialect
 import zinctrail.transport.endpoint_client as endpoint_client
@@ -28,8 +30,7 @@
 
 # The exit code after an exception in a state machine with a disk (EX_SOFTWARE of sysexits.h: an internal error).
 EXIT_INTERNAL_ERROR = 70
-# The intervals at which the connections of open traffic, and the idle ones to endpoints, are checked for timeouts.
-OPEN_SWEEP_S = 0.25
+# The interval at which the idle connections to endpoints are checked for timeouts.
 IDLE_SWEEP_S = 1.0
 # How many times, and at which interval, an exit checks whether open traffic still has connections.
 EXIT_CHECKS = 10
@@ -111,6 +112,8 @@
         self.api = web.ApiResource(self)
         self.http_client = http_client.HttpClient(reactor, verifies=True)
         header_names.limit_cache()
+        limits = process_limits.process_limits(machine.settings)
+        self.clients = client_connections.ClientConnections(limits, reactor)
         self.endpoint_client = endpoint_client.EndpointClient(reactor)
         # {fetch id: outstanding call to an endpoint}.
         self.fetches: dict[int, defer.Deferred[effects.HttpResult]] = {}
@@ -175,13 +178,14 @@
         body_limit_bytes = max(self.machine.settings.body_most, self.machine.settings.config_most)
         for root, addr in [(self.api, location.http), *((listener, listener.addr) for listener in self.api_listeners)]:
             host, port = peer_connections.split_address(addr)
-            self.reactor.listenTCP(port, web.make_site(root, body_limit_bytes, self.reactor), interface=host)
+            site = web.make_site(root, body_limit_bytes, self.reactor, self.clients)
+            self.reactor.listenTCP(port, site, interface=host)
+        call_periodically(self.clients.sweep, client_connections.SWEEP_S)
         if location.front:
             host, port = peer_connections.split_address(location.front)
-            self.open_server = open_traffic_server.OpenTrafficServer(self, self.dialect, self.reactor)
+            self.open_server = open_traffic_server.OpenTrafficServer(self, self.dialect, self.reactor, self.clients)
             self.open_server.listen(port, host)
             call_periodically(self.endpoint_client.sweep, IDLE_SWEEP_S)
-            call_periodically(self.open_server.sweep, OPEN_SWEEP_S)
 
     def now(self) -> datetime.timedelta:
         """Return the current time, with which inputs are fed."""
--- a/zinctrail/transport/metrics_page.py
+++ b/zinctrail/transport/metrics_page.py
@@ -27,6 +27,11 @@
         'way',
         {'library': host.http_client.connector.opened, 'plain': host.endpoint_client.opened},
     )
+    clients = host.clients
+    yield metrics.gauge('clients', 'Connections of clients that are open.', len(clients.channels))
+    yield metrics.gauge('clients_held_bytes', 'Bytes that are held for clients.', clients.account.held_bytes)
+    yield metrics.counter('clients_evicted', 'Connections of clients closed to make room.', clients.evicted)
+    yield metrics.counter('clients_refused', 'Clients refused for lack of room.', clients.refused)
     yield metrics.gauge('memory_bytes', 'Memory that is resident now.', resident_bytes())
     yield metrics.gauge('descriptors', 'Descriptors that are open.', open_descriptors())
 
--- a/zinctrail/transport/open_traffic_server.py
+++ b/zinctrail/transport/open_traffic_server.py
@@ -6,7 +6,6 @@
 sent no request), and no other client is affected.
 """
 
-import socket
 import typing
 
 import twisted.internet.interfaces as interfaces
@@ -15,24 +14,17 @@
 import twisted.web.http as http
 
 import zinctrail.runtime.effects as effects
+import zinctrail.transport.client_channel as client_channel
+import zinctrail.transport.client_connections as client_connections
 import zinctrail.transport.twisted_types as twisted_types
 
-# How long the connection of a refused client stays open after the response. Closing it with unread bytes would reset
-# it, and the response would be lost.
-LINGER_S = 1.0
-# How long a connection may take to send its remaining data after an orderly close; then it is aborted.
-MAX_CLOSE_S = 10.0
+# The announced keep-alive timeout is this much shorter than the real one, so that no client sends a request on a
+# connection that is just being closed.
+KEEP_ALIVE_MARGIN_S = 1
 # The limit of buffered bodies, of all connections together: many large ones must not exhaust the process's memory.
 MAX_BUFFERED_BYTES = 80 << 20
-# The limit of client connections: endpoints and peers need file descriptors too.
-MAX_CONNECTIONS = 3000
 # How much memory Twisted may preallocate for an announced body.
 MAX_ANNOUNCED_BYTES = 1 << 20
-# The Retry-After, in seconds, for a client that is refused because a buffer or connection limit is reached.
-RETRY_AFTER = b'0.5'
-# The announced keep-alive timeout is this much shorter than the real one, so that no client sends a request on a
-# connection that is just being closed.
-KEEP_ALIVE_MARGIN_S = 1
 # Statuses whose responses have no body and no content-length.
 BODILESS = (204, 304)
 
@@ -112,6 +104,10 @@
         self.server.buffered_bytes -= self.received_bytes
         self.received_bytes = 0
 
+    def held_bytes(self) -> int:
+        """Return how many bytes are held for the body."""
+        return self.received_bytes
+
     def connectionLost(self, reason: failure.Failure) -> None:
         """Handle the loss of the client's connection before the response was sent."""
         super().connectionLost(reason)
@@ -120,112 +116,19 @@
             self.server.client_disconnected(self)
 
 
-class ClientConnection(http.HTTPChannel):
-    """One connection of a client. Its timeouts are enforced by the server's sweep; it has no timers of its own."""
-
-    # The type that Twisted declares lacks the methods of TCP.
-    transport: typing.Any
-    # The OpenTrafficServer; twisted.web reads this attribute too.
-    site: typing.Any = None
-    # When the header that is being received began; None if none is.
-    header_since: float | None = None
-    # When data of a request was last received, or a response completed.
-    idle_since = 0.0
-    is_in_body = False
-    # True if the client was refused: everything that still arrives is ignored.
-    is_refused = False
-    # When the connection is aborted if the client has not closed it by then.
-    abort_at: float | None = None
+class ClientConnection(client_channel.ClientChannel):
+    """One connection of a client of open traffic."""
 
     def connectionMade(self) -> None:
-        """Register the connection, and make room for it if there are too many."""
-        super().connectionMade()
-        self.idle_since = self.site.now()
-        sock = self.transport.getHandle()
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(1000 * MAX_CLOSE_S))
+        """Register the connection."""
         self.site.connections.add(self)
-        if len(self.site.connections) > MAX_CONNECTIONS:
-            self.site.make_room(self)
+        super().connectionMade()
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         """Unregister the connection."""
         self.site.connections.discard(self)
         super().connectionLost(reason)
 
-    def is_idle(self) -> bool:
-        """True if the connection has no pending request and no partially received one."""
-        return not self.requests and not self._receivedHeaderSize and not self._buffer
-
-    def dataReceived(self, data: bytes) -> None:
-        """Parse received data, and record when a header begins."""
-        if self.is_refused:
-            return
-        if not self._handlingRequest:
-            self.idle_since = self.site.now()
-            if self.header_since is None and not self.is_in_body:
-                self.header_since = self.idle_since
-        super().dataReceived(data)
-        self.clear_header_time()
-
-    def clear_header_time(self) -> None:
-        """Reset the header timeout if no header has begun: some clients send an empty line after a request."""
-        if self.header_since is not None and self.is_idle():
-            self.header_since = None
-
-    def lineReceived(self, line: bytes) -> None:
-        """Parse a line, unless the client was refused: lines may still follow in the data that was just received."""
-        if not self.is_refused:
-            super().lineReceived(line)
-
-    def rawDataReceived(self, data: bytes) -> None:
-        """Parse a chunk of a body, unless the client was refused."""
-        if not self.is_refused:
-            super().rawDataReceived(data)
-
-    def allHeadersReceived(self) -> None:
-        """Handle the end of the header: the body begins."""
-        self.header_since, self.is_in_body = None, True
-        super().allHeadersReceived()
-
-    def allContentReceived(self) -> None:
-        """Handle the end of the body."""
-        self.is_in_body = False
-        super().allContentReceived()
-
-    def requestDone(self, request: OpenRequest) -> None:
-        """Handle the end of the response; the next header may already have been received in part."""
-        self.idle_since = self.site.now()
-        self.header_since = self.idle_since if self._dataBuffer else None
-        super().requestDone(request)
-        self.clear_header_time()
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        """Refuse a client that sent a header line above the limit."""
-        self.refuse(431)
-
-    def _respondToBadRequestAndDisconnect(self) -> None:
-        self.refuse(431 if self._receivedHeaderSize > self.totalHeadersSize else 400)
-
-    def refuse(self, status: int) -> None:
-        """Send an error response before the request is complete, and end the connection."""
-        if self.is_refused:
-            return
-        self.is_refused, self.persistent = True, False
-        retry_after = b'Retry-After: %s\r\n' % RETRY_AFTER if status == 503 else b''
-        self.transport.write(
-            b'HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n'
-            % (status, http.RESPONSES.get(status, b'Refused'), retry_after)
-        )
-        self._networkProducer.unregisterProducer()
-        self.transport.loseWriteConnection()
-        self.abort_at = self.site.now() + LINGER_S
-
-    def loseConnection(self) -> None:
-        """Close the connection after its pending data is sent; it is aborted if that takes over `MAX_CLOSE_S`."""
-        self.abort_at = self.site.now() + MAX_CLOSE_S
-        super().loseConnection()
-
 
 class OpenTrafficServer(http.HTTPFactory):
     """The listener of open traffic: feeds requests to the state machine, and sends the responses it returns."""
@@ -234,12 +137,22 @@
     protocol: typing.Any = ClientConnection
     reactor: twisted_types.Reactor
 
-    def __init__(self, host: InputSink, dialect: typing.Any, reactor: twisted_types.Reactor) -> None:
+    def __init__(
+        self,
+        host: InputSink,
+        dialect: typing.Any,
+        reactor: twisted_types.Reactor,
+        clients: client_connections.ClientConnections | None = None,
+    ) -> None:
+        """
+        :param clients: the connections of all listeners of the process; by default this listener is the only one.
+        """
         # Twisted's own timeout is off: the sweep applies the current limits, which may change.
         no_timeout: typing.Any = None
         super().__init__(reactor=reactor, timeout=no_timeout)
         self.host = host
         self.dialect = dialect
+        self.clients = clients or client_connections.default_connections(reactor)
         self.last_request_no = 0
         # {request id: a request whose response is outstanding}.
         self.pending: dict[RequestId, OpenRequest] = {}
@@ -264,8 +177,7 @@
     def apply_limits(self, limits: effects.Limits) -> None:
         """Apply new limits, to existing connections too."""
         self.limits = limits
-        self.max_header_s, self.max_idle_s = limits.header_ms / 1000, limits.idle_ms / 1000
-        announced_s = int(self.max_idle_s - KEEP_ALIVE_MARGIN_S)
+        announced_s = int(limits.idle_ms / 1000 - KEEP_ALIVE_MARGIN_S)
         self.keep_alive = f'timeout={announced_s}' if announced_s > 0 else ''
         for connection in self.connections:
             self.apply_header_limit(connection)
@@ -282,33 +194,12 @@
         self.apply_header_limit(connection)
         return connection
 
-    def make_room(self, new_connection: ClientConnection) -> None:
-        """Close the connection that has been idle longest, or refuse the new connection if none is idle."""
-        idle = [
-            connection
-            for connection in self.connections
-            if connection is not new_connection and connection.abort_at is None and connection.is_idle()
-        ]
-        if idle:
-            min(idle, key=lambda connection: connection.idle_since).loseConnection()
-        else:
-            new_connection.refuse(503)
-
     def sweep(self) -> None:
-        """Abort, refuse or close the connections that exceeded a timeout."""
+        """Enforce the time limits of the connections."""
         now = self.now()
         for connection in list(self.connections):
-            if connection.abort_at is not None:
-                if now >= connection.abort_at:
-                    connection.transport.abortConnection()
-            elif connection.header_since is not None:
-                if now - connection.header_since >= self.max_header_s:
-                    connection.refuse(408)
-            elif not connection._handlingRequest and now - connection.idle_since >= self.max_idle_s:
-                if connection.is_in_body:
-                    connection.refuse(408)
-                else:
-                    connection.loseConnection()
+            connection.observe_progress(now)
+            connection.enforce_time_limits(now)
 
     def drain(self, stops_listening: bool) -> None:
         """Close each connection after its next response, and optionally stop accepting new connections."""
--- a/zinctrail/transport/program.py
+++ b/zinctrail/transport/program.py
@@ -18,6 +18,7 @@
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.logs as logs
 import zinctrail.runtime.parsing as parsing
+import zinctrail.runtime.process_limits as process_limits
 import zinctrail.runtime.request_sampling as request_sampling
 import zinctrail.runtime.settings as settings
 import zinctrail.transport.host as host
@@ -99,6 +100,7 @@
             values[field.name] = durations.ms(getattr(flags, f'{field.name}_ms'))
         else:
             values[field.name] = getattr(flags, field.name)
+    values['file_descriptors'] = process_limits.within_system_limit(values['file_descriptors'])
     return settings.Settings(**values)
 
 
--- a/zinctrail/transport/web.py
+++ b/zinctrail/transport/web.py
@@ -2,12 +2,15 @@
 
 import typing
 
+import twisted.internet.interfaces as interfaces
 import twisted.python.failure as failure
 import twisted.web.http as http
 import twisted.web.resource as resource
 import twisted.web.server as server
 
 import zinctrail.runtime.effects as effects
+import zinctrail.transport.client_channel as client_channel
+import zinctrail.transport.client_connections as client_connections
 import zinctrail.transport.early_refusal as early_refusal
 import zinctrail.transport.metrics_page as metrics_page
 import zinctrail.transport.twisted_types as twisted_types
@@ -23,9 +26,31 @@
 Translate = typing.Callable[[effects.HttpResponse], effects.HttpResponse]
 
 
+# The time that receiving the header of a call may take; calls come from slower machines than open traffic may.
+HEADER_MS = 10000
+HEADER_BYTES = 16384
+
+
 class BoundedRequest(early_refusal.EarlyRefusal, server.Request):
     """A request whose body is counted while it arrives, so that it is limited before it is buffered."""
 
+    def held_bytes(self) -> int:
+        """Return how many bytes are held for the body."""
+        return self.received_bytes
+
+    def release_body(self) -> None:
+        """Drop nothing: the body is in a temporary file until the connection ends."""
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Buffer a chunk of the body, unless the call was refused."""
+        if not self.channel.is_refused:
+            super().handleContentChunk(data)
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """Handle the complete call, unless it was refused."""
+        if not self.channel.is_refused:
+            super().requestReceived(command, path, version)
+
 
 class PendingCall(typing.NamedTuple):
     """An API call whose response is outstanding."""
@@ -132,18 +157,63 @@
     request.finish()
 
 
-class QuietSite(server.Site):
-    """A site without Twisted's access log; requests are logged by sampling (runtime/request_sampling.py)."""
+class ApiConnection(client_channel.ClientChannel):
+    """One connection of a client of the API."""
+
+
+class ApiSite(server.Site):
+    """A listener of the API, without Twisted's access log; requests are logged by sampling (request_sampling.py)."""
 
     noisy = False
+    protocol: typing.Any = ApiConnection
+
+    def __init__(
+        self,
+        root: resource.Resource,
+        body_limit_bytes: int,
+        reactor: twisted_types.Reactor,
+        clients: client_connections.ClientConnections | None,
+    ) -> None:
+        """
+        :param clients: the connections of all listeners of the process; by default this listener is the only one, and
+            enforces its time limits itself.
+        """
+        # Twisted's own timeout is off: the sweep of the connections applies the limits.
+        no_timeout: typing.Any = None
+        super().__init__(root, reactor=reactor, timeout=no_timeout)
+        self.clients = clients or client_connections.default_connections(reactor)
+        self.sweep = client_connections.Sweep(self.clients) if clients is None else None
+        self.limits = effects.Limits(HEADER_BYTES, body_limit_bytes, HEADER_MS, 1000 * IDLE_S)
+        bounded = type('Bounded', (BoundedRequest,), {'body_limit_bytes': body_limit_bytes})
+        self.requestFactory = typing.cast(type[server.Request], bounded)
+
+    def buildProtocol(self, addr: interfaces.IAddress | None) -> typing.Any:
+        """Return the protocol of a new connection."""
+        connection: typing.Any = super().buildProtocol(addr)
+        connection.totalHeadersSize = connection.MAX_LENGTH = self.limits.header_bytes
+        return connection
+
+    def startFactory(self) -> None:
+        """Begin to enforce time limits."""
+        super().startFactory()
+        if self.sweep is not None:
+            self.sweep.start()
+
+    def stopFactory(self) -> None:
+        """End the enforcement of time limits."""
+        super().stopFactory()
+        if self.sweep is not None:
+            self.sweep.stop()
 
     def log(self, request: http.Request) -> None:
         """Log nothing."""
 
 
-def make_site(root: resource.Resource, body_limit_bytes: int, reactor: twisted_types.Reactor) -> server.Site:
+def make_site(
+    root: resource.Resource,
+    body_limit_bytes: int,
+    reactor: twisted_types.Reactor,
+    clients: client_connections.ClientConnections | None = None,
+) -> server.Site:
     """Return a listener's factory that serves `root` and limits the bodies of its requests."""
-    site = QuietSite(root, reactor=reactor, timeout=IDLE_S)
-    bounded = type('Bounded', (BoundedRequest,), {'body_limit_bytes': body_limit_bytes})
-    site.requestFactory = typing.cast(type[server.Request], bounded)
-    return site
+    return ApiSite(root, body_limit_bytes, reactor, clients)
