Bodies of requests are held once, in memory, and counted until nobody has them

Callers saw processes that ran out of memory, or of the temporary folder (64 MB, counts as memory), by bodies that weren't finished, waited at an endpoint, or belonged to clients that had left. Causes: each body above 100 KB went to a temporary file, was read from there into memory and joined once more on its way to the endpoint; the API limited each body and not their sum; open traffic limited the sum by a constant, and counted a body no longer once its client had left, though the request held it on.

A body of open traffic now is one payload (transport/payload.py): segments that the account of bytes counts for as long as anybody holds them. It is written to the endpoint as fast as that reads it (LongRequest), without a copy. Bodies of the API stay in memory, at four times their size, which is what they cost while they are parsed and carried out.

--- a/zinctrail/runtime/effects.py
+++ b/zinctrail/runtime/effects.py
@@ -10,6 +10,10 @@
 import datetime
 import typing
 
+# The body of a request or a response: bytes. A long one of open traffic is a transport.payload.Payload, which the host
+# holds, and which state machines only pass on.
+Body: typing.TypeAlias = typing.Any
+
 
 @dataclasses.dataclass(slots=True)
 class Send:
@@ -64,7 +68,7 @@
     request_id: typing.Any
     status: int
     headers: dict
-    body: bytes
+    body: Body
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,7 +88,7 @@
     method: str
     path: str
     headers: dict
-    body: bytes
+    body: Body
     # The timeout of the response.
     wait: datetime.timedelta
     # Whether the endpoint does not use our library: it is not asked for its incarnation, and its id is sent with the
@@ -111,7 +115,7 @@
     # The status of the response; 0 without a response.
     status: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
-    body: bytes = b''
+    body: Body = b''
     # False only if it is certain that no byte of the request was sent.
     sent: bool = True
     # A description of the error; '' if there was none.
@@ -171,4 +175,4 @@
     method: str
     path: str
     headers: dict
-    body: bytes
+    body: Body
--- a/zinctrail/transport/early_refusal.py
+++ b/zinctrail/transport/early_refusal.py
@@ -1,5 +1,6 @@
 """Early refusal: rejects a request whose headers announce a body above the limit, before the body is read."""
 
+import io
 import typing
 
 import twisted.web.http as http
@@ -18,7 +19,8 @@
 
     def gotLength(self, length: int | None) -> None:
         """Refuse the request if its announced body length is above the limit."""
-        super().gotLength(min(length, self.body_limit_bytes) if length else length)
+        # In memory, because the temporary folder counts as memory too.
+        self.content = io.BytesIO()
         if length and length > self.body_limit_bytes:
             self.channel.refuse(413)
 
--- a/zinctrail/transport/endpoint_client.py
+++ b/zinctrail/transport/endpoint_client.py
@@ -20,6 +20,7 @@
 
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
+import zinctrail.transport.payload as payload
 import zinctrail.transport.peer_connections as peer_connections
 import zinctrail.transport.response_body as response_body
 import zinctrail.transport.twisted_types as twisted_types
@@ -56,7 +57,7 @@
 
 @zope.interface.implementer(iweb.IBodyProducer)
 class CompleteBody:
-    """A request body that is already in memory."""
+    """A short request body."""
 
     def __init__(self, body: bytes):
         self.body = body
@@ -73,6 +74,41 @@
     pauseProducing = resumeProducing = stopProducing
 
 
+class LongRequest(newclient.Request):
+    """A request with a long body, which is written as fast as the endpoint reads it.
+
+    To Twisted the request counts as written at once, because it would otherwise
+    deliver no response before, and an endpoint may respond while it still reads.
+    """
+
+    def __init__(
+        self, method: bytes, path: bytes, headers: http_headers.Headers, body: payload.Payload, connection: typing.Any
+    ) -> None:
+        super().__init__(method, path, headers, None, persistent=True)
+        self.body = body
+        self.connection = connection
+
+    def writeTo(self, transport: typing.Any) -> defer.Deferred[None]:
+        """Write the header, and begin to write the body."""
+        self._writeHeaders(transport, b'Content-Length: %d\r\n' % len(self.body))
+
+        self.connection.sending = self
+        producer = payload.PieceProducer(payload.reading(self.body), transport.write, self.finish)
+        transport.registerProducer(producer, True)
+        producer.resumeProducing()
+        return defer.succeed(None)
+
+    def finish(self) -> None:
+        """Handle the end of the body."""
+        self.stop()
+        self.connection.transport.unregisterProducer()
+
+    def stop(self) -> None:
+        """Read the body no more."""
+        if self.connection.sending is self:
+            self.connection.sending = None
+
+
 class EndpointConnection(newclient.HTTP11ClientProtocol):
     """A connection to a plain endpoint, which tracks whether it may be reused."""
 
@@ -93,6 +129,8 @@
     # Bytes received after a skipped response.
     unparsed = b''
     skipped_responses = 0
+    # The request with a long body that is being written; None if none is.
+    sending: LongRequest | None = None
     # The bytes of the header that is being received.
     header_bytes = 0
     # The limit of the body of the response.
@@ -105,6 +143,8 @@
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         """Remove the connection from the idle connections."""
+        if self.sending is not None:
+            self.sending.stop()
         super().connectionLost(reason)
         self.owner.closed(self)
 
@@ -263,7 +303,8 @@
 
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection to the pool after a request, or close it if it can't be reused."""
-        if connection.is_unusable or connection.state != 'QUIESCENT' or self.is_distrusted(connection.incarnation):
+        is_usable = connection.state == 'QUIESCENT' and not connection.is_unusable and connection.sending is None
+        if not is_usable or self.is_distrusted(connection.incarnation):
             connection.transport.abortConnection()
             return
         if connection.keep_alive_s is not None and connection.keep_alive_s <= IDLE_MARGIN_S:
@@ -299,7 +340,7 @@
         method: str,
         path: str,
         headers: dict[str, str],
-        body: bytes,
+        body: effects.Body,
         timeout: datetime.timedelta,
         at_most_once: bool,
         is_own_response: IsOwnResponse = lambda headers: True,
@@ -342,7 +383,7 @@
         method: str,
         path: str,
         headers: dict[str, str],
-        body: bytes,
+        body: effects.Body,
         timeout: datetime.timedelta,
         is_own_response: IsOwnResponse,
     ) -> defer.Deferred[effects.HttpResult]:
@@ -352,11 +393,15 @@
         raw_headers = http_headers.Headers(raw)
         connection.is_own_response = lambda response: is_own_response(lowercased(response.headers))
         connection.skipped_responses = 0
-        producer = CompleteBody(body) if body else None
+        target = path.encode('latin-1')
+        request: newclient.Request
+        if isinstance(body, payload.Payload):
+            request = LongRequest(method.encode(), target, raw_headers, body, connection)
+        else:
+            producer = CompleteBody(body) if body else None
+            request = newclient.Request(method.encode(), target, raw_headers, producer, persistent=True)
         try:
-            response = connection.request(
-                newclient.Request(method.encode(), path.encode('latin-1'), raw_headers, producer, persistent=True)
-            )
+            response = connection.request(request)
         except Exception as error:  # A request that Twisted refuses has not been sent.
             connection.transport.abortConnection()
             return defer.succeed(effects.HttpResult(sent=False, fault=f'{type(error).__name__}: {error}'))
--- a/zinctrail/transport/open_traffic_server.py
+++ b/zinctrail/transport/open_traffic_server.py
@@ -16,15 +16,12 @@
 import zinctrail.runtime.effects as effects
 import zinctrail.transport.client_channel as client_channel
 import zinctrail.transport.client_connections as client_connections
+import zinctrail.transport.payload as payload
 import zinctrail.transport.twisted_types as twisted_types
 
 # The announced keep-alive timeout is this much shorter than the real one, so that no client sends a request on a
 # connection that is just being closed.
 KEEP_ALIVE_MARGIN_S = 1
-# The limit of buffered bodies, of all connections together: many large ones must not exhaust the process's memory.
-MAX_BUFFERED_BYTES = 80 << 20
-# How much memory Twisted may preallocate for an announced body.
-MAX_ANNOUNCED_BYTES = 1 << 20
 # Statuses whose responses have no body and no content-length.
 BODILESS = (204, 304)
 
@@ -44,8 +41,6 @@
 
     # The types that Twisted declares lack our fields.
     channel: typing.Any
-    content: typing.Any
-    received_bytes = 0
     # Set when the request is fed to the state machine.
     request_id: RequestId | None = None
     # True once the request has been fed to the state machine.
@@ -54,29 +49,29 @@
     def __init__(self, channel: typing.Any, *args: typing.Any, **options: typing.Any) -> None:
         super().__init__(channel, *args, **options)
         self.server: OpenTrafficServer = channel.site
+        # The body, until the request is fed to the state machine; None while there is none.
+        self.payload: payload.Payload | None = None
 
     def gotLength(self, length: int | None) -> None:
         """Refuse the request if the announced length of its body is above a limit."""
-        server = self.server
-        if length and length > server.limits.body_bytes:
+        if length and length > self.server.limits.body_bytes:
             self.channel.refuse(413)
-        elif length and server.buffered_bytes + length > MAX_BUFFERED_BYTES:
+        elif length and not self.server.clients.account.may_ever_hold(length):
             self.channel.refuse(503)
-        super().gotLength(min(length, MAX_ANNOUNCED_BYTES) if length else length)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Buffer a chunk of the body, or refuse the request if a limit is exceeded."""
         if self.channel.is_refused:
             return
-        self.received_bytes += len(data)
-        server = self.server
-        server.buffered_bytes += len(data)
-        if self.received_bytes > server.limits.body_bytes:
+        if self.payload is None:
+            self.payload = payload.Payload(self.server.clients.account)
+        size = len(self.payload) + len(data)
+        if size > self.server.limits.body_bytes:
             self.channel.refuse(413)
-        elif server.buffered_bytes > MAX_BUFFERED_BYTES:
+        elif not self.payload.reserve(size):
             self.channel.refuse(503)
         else:
-            super().handleContentChunk(data)
+            self.payload.add(data)
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Pass the complete request to the server.
@@ -90,23 +85,23 @@
             # Without exactly one host, no rule can match, and a 404 would look like the operator's configuration.
             self.channel.refuse(400)
             return
-        self.content.seek(0)
         self.method, self.uri, self.clientproto = command, path, version
         self.server.received(self)
 
-    def finish(self) -> None:
-        """End the response."""
-        super().finish()
-        self.release_body()
-
-    def release_body(self) -> None:
-        """Stop counting the body as buffered."""
-        self.server.buffered_bytes -= self.received_bytes
-        self.received_bytes = 0
+    def take_body(self) -> bytes | payload.Payload:
+        """Return the body, and hold it no longer: whoever has it does."""
+        body = self.payload.body() if self.payload is not None else b''
+        self.payload = None
+        return body
 
     def held_bytes(self) -> int:
-        """Return how many bytes are held for the body."""
-        return self.received_bytes
+        """Return how many bytes of the body are held here."""
+        return self.payload.holding.size if self.payload is not None else 0
+
+    def release_body(self) -> None:
+        """Drop the body."""
+        if self.payload is not None:
+            self.payload.release()
 
     def connectionLost(self, reason: failure.Failure) -> None:
         """Handle the loss of the client's connection before the response was sent."""
@@ -159,7 +154,6 @@
         self.connections: set[ClientConnection] = set()
         # The listening port; None while no new connections are accepted.
         self.port: typing.Any = None
-        self.buffered_bytes = 0
         self.is_draining = False
         self.apply_limits(effects.Limits())
 
@@ -194,6 +188,11 @@
         self.apply_header_limit(connection)
         return connection
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of bodies that are being received."""
+        return sum(request.held_bytes() for connection in self.connections for request in connection.requests)
+
     def sweep(self) -> None:
         """Enforce the time limits of the connections."""
         now = self.now()
@@ -222,7 +221,7 @@
             for name, values in request.requestHeaders.getAllRawHeaders()
         }
         call = effects.HttpRequest(
-            request.method.decode('latin-1'), request.uri.decode('latin-1'), headers, request.content.read()
+            request.method.decode('latin-1'), request.uri.decode('latin-1'), headers, request.take_body()
         )
         self.host.feed('front', request_id, self.dialect.request_in(call))
 
--- a/zinctrail/transport/web.py
+++ b/zinctrail/transport/web.py
@@ -1,5 +1,6 @@
 """The HTTP server of a process, built on twisted.web: API calls are fed to its state machine."""
 
+import io
 import typing
 
 import twisted.internet.interfaces as interfaces
@@ -9,6 +10,7 @@
 import twisted.web.server as server
 
 import zinctrail.runtime.effects as effects
+import zinctrail.transport.byte_account as byte_account
 import zinctrail.transport.client_channel as client_channel
 import zinctrail.transport.client_connections as client_connections
 import zinctrail.transport.early_refusal as early_refusal
@@ -29,28 +31,51 @@
 # The time that receiving the header of a call may take; calls come from slower machines than open traffic may.
 HEADER_MS = 10000
 HEADER_BYTES = 16384
+# What a byte of a body costs in memory while the call is parsed and carried out.
+PARSED_COST = 4
 
 
 class BoundedRequest(early_refusal.EarlyRefusal, server.Request):
-    """A request whose body is counted while it arrives, so that it is limited before it is buffered."""
+    """A call whose body is held in memory, and counted while it arrives and while the call is carried out."""
 
-    def held_bytes(self) -> int:
-        """Return how many bytes are held for the body."""
-        return self.received_bytes
+    # Twisted would parse the bodies of forms.
+    _parsePOSTFormSubmission = False
 
-    def release_body(self) -> None:
-        """Drop nothing: the body is in a temporary file until the connection ends."""
+    def __init__(self, channel: typing.Any, *args: typing.Any, **options: typing.Any) -> None:
+        super().__init__(channel, *args, **options)
+        self.holding = byte_account.Holding(channel.site.clients.account)
 
     def handleContentChunk(self, data: bytes) -> None:
-        """Buffer a chunk of the body, unless the call was refused."""
+        """Buffer a chunk of the body, or refuse the call if there is no room for it."""
+        if not self.holding.grow(PARSED_COST * len(data)):
+            self.channel.refuse(503)
         if not self.channel.is_refused:
             super().handleContentChunk(data)
 
+    def held_bytes(self) -> int:
+        """Return how many bytes are held for the body."""
+        return self.holding.size
+
+    def release_body(self) -> None:
+        """Drop the body."""
+        self.content = io.BytesIO()
+        self.holding.release()
+
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Handle the complete call, unless it was refused."""
         if not self.channel.is_refused:
             super().requestReceived(command, path, version)
 
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Give back what was held for a client that disconnected."""
+        super().connectionLost(reason)
+        self.holding.release()
+
+    def finish(self) -> None:
+        """End the response."""
+        super().finish()
+        self.holding.release()
+
 
 class PendingCall(typing.NamedTuple):
     """An API call whose response is outstanding."""
