An answer is held once, taken only when there is room, and given back as its client reads it

Callers saw a proxy end for lack of memory: long answers that many clients read slowly. Causes: an answer was read whole from its endpoint, whatever else was held; it was joined, joined once more by the transport, and kept there as long as its client liked, uncounted. One of 64 MiB cost 178 MB.

An answer now goes into a payload (transport/answer_reader.py). Its announced length is reserved first; without room the endpoint's connection is not read until there is some, in the order of arrival, short answers past long ones. The answer leaves segment by segment as its client reads it, and each segment is given back; what the transport still has is counted too. When room is wanted, the connection that holds most is closed among those that moved less than 16 KB within a second; one that moves nothing for idle_timeout_ms is closed anyway. If a request's own body is all that takes the room of its answer, and is written, it is dropped: an idempotent one can't be sent again then and would get 502. A long answer of the API without room becomes 503 for a GET.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -65,3 +65,8 @@
     Given a process with the listener open traffic of a proxy and 160 MB
     When a client sends a request of 64 MiB
     Then the endpoint gets the whole request, and the process has kept within its limits
+
+  Scenario: The largest request with the largest answer, alone, is served whole within the 200 MB of a small machine
+    Given a process with the listener open traffic of a proxy and 200 MB
+    When a client sends a request of 64 MiB and asks for an answer of 64 MiB
+    Then it gets the whole answer, and the process has kept within its limits
--- a/zinctrail/transport/client_channel.py
+++ b/zinctrail/transport/client_channel.py
@@ -1,4 +1,4 @@
-"""One HTTP connection of a client: its time limits, and what it holds."""
+"""One HTTP connection of a client: time limits, what it holds, and responses that leave only as fast as they are read."""
 
 import socket
 import typing
@@ -10,6 +10,7 @@
 import zinctrail.runtime.effects as effects
 import zinctrail.transport.byte_account as byte_account
 import zinctrail.transport.client_connections as client_connections
+import zinctrail.transport.payload as payload
 
 # How long the connection of a refused client stays open after the response. Closing it with unread bytes would reset
 # it, and the response would be lost.
@@ -48,8 +49,9 @@
     transport: typing.Any
     # The ChannelFactory; twisted.web reads this attribute too.
     site: typing.Any = None
-    # The bytes that are held for this connection and its buffers.
+    # The bytes that are held for this connection: its buffers, and what was written and has not left the process.
     holding: byte_account.Holding
+    unsent: byte_account.Holding
     # When the header that is being received began; None if none is.
     header_since: float | None = None
     # When data of a request was last received, or a response completed.
@@ -61,17 +63,25 @@
     is_refused = False
     # When the connection is aborted if the client has not closed it by then.
     abort_at: float | None = None
-    # The bytes received so far, and their number and the time when they last rose by `STALL_BYTES`.
+    # The response that is being written from a payload, and what writes it; None if none is.
+    outgoing: payload.Payload | None = None
+    producer: payload.PieceProducer | None = None
+    # The bytes received and written so far, and the state of both when they last rose by `STALL_BYTES`.
     received_total = 0
+    written_total = 0
     progress_bytes = 0
     progress_at = 0.0
+    # When any byte was last moved, and how many had been moved then.
+    moved_bytes = 0
+    moved_at = 0.0
 
     def connectionMade(self) -> None:
         """Register the connection, and make room for it if there are too many."""
         super().connectionMade()
         now = self.site.clients.now()
-        self.idle_since = self.progress_at = now
-        self.holding = byte_account.Holding(self.site.clients.account)
+        self.idle_since = self.progress_at = self.moved_at = now
+        account = self.site.clients.account
+        self.holding, self.unsent = byte_account.Holding(account), byte_account.Holding(account)
         sock = self.transport.getHandle()
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(1000 * MAX_CLOSE_S))
@@ -80,8 +90,10 @@
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         """Unregister the connection, and give back what it held."""
         self.site.clients.remove(self)
+        self.drop_outgoing()
         super().connectionLost(reason)
         self.holding.release()
+        self.unsent.release()
 
     # -- receiving ----------------------------------------------------------------
 
@@ -160,8 +172,44 @@
 
     # -- responding ---------------------------------------------------------------
 
+    def send_payload(self, request: http.Request, body: payload.Payload) -> None:
+        """Write the body of a response as fast as the client reads it, then end the response."""
+        self.outgoing = body
+
+        def finish() -> None:
+            self.outgoing = self.producer = None
+            request.unregisterProducer()
+            request.finish()
+
+        self.producer = payload.PieceProducer(payload.consuming(body), request.write, finish)
+        request.registerProducer(self.producer, True)
+        self.producer.resumeProducing()
+
+    def drop_outgoing(self) -> None:
+        """Give back the response that is not going to be written."""
+        if self.outgoing is not None and self.producer is not None:
+            self.producer.stopProducing()
+            self.outgoing.release()
+            self.outgoing = self.producer = None
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a response, and hold it until it has left the process."""
+        super().write(data)
+        self.written_total += len(data)
+        self.hold_output()
+
+    def pending_output(self) -> int:
+        """Return how many bytes were written and have not left the process."""
+        transport = self.transport
+        return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+    def hold_output(self) -> None:
+        """Hold what has not left the process."""
+        self.unsent.resize(self.pending_output())
+
     def requestDone(self, request: http.Request) -> None:
         """Handle the end of the response; the next header may already have been received in part."""
+        self.hold_output()
         self.idle_since = self.site.clients.now()
         self.header_since = self.idle_since if self._dataBuffer else None
         self.header_bytes = 0
@@ -200,17 +248,28 @@
     # -- time limits, and making room ----------------------------------------------
 
     def observe_progress(self, now: float) -> None:
-        """Record how many bytes the client has sent."""
-        if self.received_total - self.progress_bytes >= STALL_BYTES or not self.is_in_body:
-            self.progress_bytes, self.progress_at = self.received_total, now
+        """Record how many bytes the client has moved, in either direction."""
+        if self.unsent.size:
+            self.hold_output()
+        moved = self.received_total + self.written_total - self.unsent.size
+        if moved != self.moved_bytes:
+            self.moved_bytes, self.moved_at = moved, now
+        if moved - self.progress_bytes >= STALL_BYTES or not self.is_moving():
+            self.progress_bytes, self.progress_at = moved, now
+
+    def is_moving(self) -> bool:
+        """True if the client has to send the rest of a request, or to read the rest of a response."""
+        return bool(self.unsent.size) or self.outgoing is not None or self.is_in_body
 
     def is_stalled(self, now: float) -> bool:
-        """True if the client should send the rest of a body, and sent little within `STALL_S`."""
-        return self.is_refused or self.is_in_body and now - self.progress_at >= STALL_S
+        """True if the client should move bytes, and moved few within `STALL_S`."""
+        return self.is_refused or self.is_moving() and now - self.progress_at >= STALL_S
 
     def held_bytes(self) -> int:
         """Return how many bytes are held for this connection."""
-        return self.holding.size + sum(request.held_bytes() for request in self.requests)
+        outgoing = self.outgoing.holding.size if self.outgoing is not None else 0
+        bodies = sum(request.held_bytes() for request in self.requests)
+        return self.holding.size + self.unsent.size + outgoing + bodies
 
     def eviction_rank(self) -> EvictionRank | None:
         """Return how soon this connection is closed to make room for others, the lowest first; None for never."""
@@ -225,13 +284,14 @@
             return STALLED_RANK, self.progress_at
         if self.is_in_body:
             return BODY_RANK, self.received_total
-        if self._handlingRequest:
+        if self._handlingRequest or self.is_moving():
             return None
         return IDLE_RANK, self.idle_since
 
     def evict(self) -> None:
         """Close the connection to make room; at once, unless it is idle."""
-        is_idle = self.is_idle() and self.abort_at is None
+        is_idle = self.is_idle() and self.abort_at is None and not self.unsent.size
+        self.drop_outgoing()
         self.release_requests()
         if is_idle:
             self.loseConnection()
@@ -239,6 +299,7 @@
             self.transport.abortConnection()
             # At once, so that no more connections are closed than have to be.
             self.holding.release()
+            self.unsent.release()
 
     def enforce_time_limits(self, now: float) -> None:
         """Abort, refuse or close the connection if it exceeded a time limit."""
@@ -250,6 +311,9 @@
         elif self.header_since is not None:
             if now - self.header_since >= limits.header_ms / 1000:
                 self.refuse(408)
+        elif self.unsent.size or self.outgoing is not None:
+            if now - self.moved_at >= idle_s:
+                self.transport.abortConnection()
         elif not self._handlingRequest and now - self.idle_since >= idle_s:
             if self.is_in_body:
                 self.refuse(408)
--- a/zinctrail/transport/endpoint_client.py
+++ b/zinctrail/transport/endpoint_client.py
@@ -20,9 +20,12 @@
 
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
+import zinctrail.runtime.process_limits as process_limits
+import zinctrail.runtime.settings as settings
+import zinctrail.transport.answer_reader as answer_reader
+import zinctrail.transport.byte_account as byte_account
 import zinctrail.transport.payload as payload
 import zinctrail.transport.peer_connections as peer_connections
-import zinctrail.transport.response_body as response_body
 import zinctrail.transport.twisted_types as twisted_types
 
 MAX_RESPONSE_BYTES = 64 << 20
@@ -48,6 +51,8 @@
 # How many responses to earlier requests are skipped while waiting for the response to the current one.
 MAX_SKIPPED_RESPONSES = 2
 
+# The fault of a request whose body was dropped to make room for the response to an earlier attempt.
+BODY_RELEASED = 'its body was dropped'
 # The states of Twisted's parser before the body.
 HEADER_STATES = (newclient.STATUS, newclient.HEADER)
 
@@ -93,6 +98,7 @@
         self._writeHeaders(transport, b'Content-Length: %d\r\n' % len(self.body))
 
         self.connection.sending = self
+        self.body.readers += 1
         producer = payload.PieceProducer(payload.reading(self.body), transport.write, self.finish)
         transport.registerProducer(producer, True)
         producer.resumeProducing()
@@ -107,6 +113,14 @@
         """Read the body no more."""
         if self.connection.sending is self:
             self.connection.sending = None
+            self.body.readers -= 1
+
+    def release_body(self) -> bool:
+        """Drop the body, unless it is still being written; it can't be sent again then. Return True if it was dropped."""
+        if self.body.readers or self.body.is_released:
+            return False
+        self.body.release()
+        return True
 
 
 class EndpointConnection(newclient.HTTP11ClientProtocol):
@@ -129,8 +143,9 @@
     # Bytes received after a skipped response.
     unparsed = b''
     skipped_responses = 0
-    # The request with a long body that is being written; None if none is.
+    # The request with a long body that is being written, and the last one that was; None if there is none.
     sending: LongRequest | None = None
+    long_request: LongRequest | None = None
     # The bytes of the header that is being received.
     header_bytes = 0
     # The limit of the body of the response.
@@ -146,6 +161,7 @@
         if self.sending is not None:
             self.sending.stop()
         super().connectionLost(reason)
+        self.long_request = None
         self.owner.closed(self)
 
     def dataReceived(self, data: bytes) -> None:
@@ -217,6 +233,10 @@
         """Record that the connection's endpoint violated HTTP."""
         self.owner.distrust(self.incarnation)
 
+    def release_request(self) -> bool:
+        """Drop the body of the current request; return False if there is none, or it is still being written."""
+        return self.long_request is not None and self.long_request.release_body()
+
     def discard(self) -> None:
         """Mark the connection as unusable and abort it."""
         self.is_unusable = True
@@ -246,8 +266,18 @@
 class EndpointClient:
     """Sends requests to plain endpoints, and pools the idle connections by incarnation."""
 
-    def __init__(self, reactor: twisted_types.Reactor) -> None:
+    def __init__(
+        self,
+        reactor: twisted_types.Reactor,
+        account: byte_account.ByteAccount | None = None,
+    ) -> None:
+        """
+        :param account: holds the bodies of responses; by default an account of this client alone.
+        """
+        limits = process_limits.process_limits(settings.Settings())
         self.reactor = reactor
+        self.account = account or byte_account.ByteAccount(limits.held_bytes, limits.small_bytes)
+        self.waiting_readers = answer_reader.WaitingReaders(reactor)
         # {incarnation: its idle connections}, the most recently used one last.
         self.idle: dict[str, list[EndpointConnection]] = {}
         # {incarnation that violated HTTP: until when its connections are not reused}.
@@ -352,6 +382,9 @@
 
         :param is_own_response: given the headers of a response, returns False if it belongs to another request.
         """
+        if isinstance(body, payload.Payload) and body.is_released:
+            # The earlier attempt was sent, so that the outcome of the request is unknown.
+            return defer.succeed(effects.HttpResult(sent=True, fault=BODY_RELEASED))
         connection = self.take_idle(incarnation, at_most_once)
         if connection is not None:
             connection.body_limit_bytes = body_limit_bytes
@@ -396,7 +429,7 @@
         target = path.encode('latin-1')
         request: newclient.Request
         if isinstance(body, payload.Payload):
-            request = LongRequest(method.encode(), target, raw_headers, body, connection)
+            request = connection.long_request = LongRequest(method.encode(), target, raw_headers, body, connection)
         else:
             producer = CompleteBody(body) if body else None
             request = newclient.Request(method.encode(), target, raw_headers, producer, persistent=True)
@@ -410,6 +443,7 @@
         response.addErrback(self.failed, connection)
 
         def finished(result: effects.HttpResult) -> effects.HttpResult:
+            connection.long_request = None
             if timer.active():
                 timer.cancel()
             if result.fault:
@@ -423,10 +457,19 @@
     def read(self, response: typing.Any, connection: EndpointConnection) -> defer.Deferred[effects.HttpResult]:
         """Read a response to its end, or the next one if this one belongs to another request."""
         breaks_protocol = violates_http(response, connection)
-        complete: defer.Deferred[tuple[bytes, str]] = defer.Deferred()
-        response.deliverBody(response_body.ResponseBody(complete, connection.body_limit_bytes))
+        complete: defer.Deferred[tuple[effects.Body, str]] = defer.Deferred()
+        response.deliverBody(
+            answer_reader.AnswerReader(
+                complete,
+                self.account,
+                self.waiting_readers,
+                response.length,
+                connection.body_limit_bytes,
+                connection.release_request,
+            )
+        )
 
-        def body_read(body_and_error: tuple[bytes, str]) -> typing.Any:
+        def body_read(body_and_error: tuple[effects.Body, str]) -> typing.Any:
             body, error = body_and_error
             if connection.next_response is not None:
                 following, connection.next_response = connection.next_response, None
--- a/zinctrail/transport/open_traffic_server.py
+++ b/zinctrail/transport/open_traffic_server.py
@@ -245,7 +245,7 @@
         write_response(request, response.status, headers, response.body)
 
 
-def write_response(request: OpenRequest, status: int, headers: dict[str, str], body: bytes) -> None:
+def write_response(request: OpenRequest, status: int, headers: dict[str, str], body: effects.Body) -> None:
     """Send a complete response."""
     request.setResponseCode(status)
     for name, value in headers.items():
@@ -253,6 +253,9 @@
         request.responseHeaders.setRawHeaders(name, [value.encode('latin-1', 'replace')])
     if status not in BODILESS:
         request.responseHeaders.setRawHeaders('content-length', [b'%d' % len(body)])
+    if isinstance(body, payload.Payload) and request.method != b'HEAD':
+        request.channel.send_payload(request, body)
+        return
     if request.method != b'HEAD' and body:
         request.write(body)
     request.finish()
--- a/zinctrail/transport/payload.py
+++ b/zinctrail/transport/payload.py
@@ -18,6 +18,20 @@
         self.segments: collections.deque[bytes | bytearray] = collections.deque()
         # The bytes that the segments contain.
         self.size = 0
+        # How many requests with this body are being written.
+        self.readers = 0
+        # True if the bytes were dropped before whoever holds the payload was done with it.
+        self.is_released = False
+
+    @classmethod
+    def from_bytes(cls, account: byte_account.ByteAccount, data: bytes) -> 'Payload | None':
+        """Return a payload with these bytes, or None if there is no room for them."""
+        payload = cls(account)
+        if not payload.holding.grow(len(data)):
+            return None
+        for start in range(0, len(data), SEGMENT_BYTES):
+            payload.add(data[start : start + SEGMENT_BYTES])
+        return payload
 
     def __len__(self) -> int:
         return self.size
@@ -40,8 +54,16 @@
         else:
             self.segments.append(data)
 
+    def take_segment(self) -> bytes:
+        """Remove the first segment, give its bytes back to the account, and return it."""
+        segment = bytes(self.segments.popleft())
+        self.size -= len(segment)
+        self.holding.resize(self.size)
+        return segment
+
     def release(self) -> None:
         """Drop all bytes, and give them back to the account."""
+        self.is_released = True
         self.segments.clear()
         self.size = 0
         self.holding.release()
@@ -100,6 +122,11 @@
         self.has_ended = True
 
 
+def consuming(payload: Payload) -> Pieces:
+    """Return a function that takes the segments of a payload out of it, one at a time."""
+    return lambda: payload.take_segment() if payload.segments else None
+
+
 def reading(payload: Payload) -> Pieces:
     """Return a function that reads the segments of a payload, one at a time, and leaves them there."""
     position = 0
--- a/zinctrail/transport/web.py
+++ b/zinctrail/transport/web.py
@@ -15,6 +15,7 @@
 import zinctrail.transport.client_connections as client_connections
 import zinctrail.transport.early_refusal as early_refusal
 import zinctrail.transport.metrics_page as metrics_page
+import zinctrail.transport.payload as payload
 import zinctrail.transport.twisted_types as twisted_types
 
 if typing.TYPE_CHECKING:
@@ -172,11 +173,20 @@
 
 
 def write_response(request: server.Request, status: int, headers: dict[str, str], body: bytes) -> None:
-    """Send a complete response."""
+    """Send a complete response; instead of a long one for which there is no room, 503 to a call that only reads."""
+    long_body = None
+    channel: typing.Any = request.channel
+    if len(body) > byte_account.SMALL_BYTES and request.method != b'HEAD':
+        long_body = payload.Payload.from_bytes(channel.site.clients.account, body)
+        if long_body is None and request.method == b'GET':
+            status, headers, body = 503, {'retry-after': client_channel.RETRY_AFTER.decode()}, b''
     request.setResponseCode(status)
     for name, value in headers.items():
         request.setHeader(name, value)
     request.setHeader('content-length', str(len(body)))
+    if long_body is not None:
+        channel.send_payload(request, long_body)
+        return
     if request.method != b'HEAD':
         request.write(body)
     request.finish()
