The next request of a connection waits until most of the last answer has left

Callers saw a proxy grow by clients that sent many requests in a row on one connection and read no answer. Cause: as soon as an answer was written, into the transport's memory, the next request was served; 64 KB of requests bring 400 answers. The endpoint of these tests sends without Nagle's delay, and this crowd is settled once no more requests reach it: before, the check came too early to see anything.

--- a/features/support/misbehaving_clients/crowds.py
+++ b/features/support/misbehaving_clients/crowds.py
@@ -22,6 +22,7 @@
 HEALTH_ANSWERS, HEALTH_ANSWER_BYTES = 8, 60 * MIB
 # Requests in a row: connections, and requests on each.
 ROWS_OF_OPEN_REQUESTS, OPEN_REQUESTS_IN_A_ROW = 3, 16
+SHORT_ANSWER_BYTES, ROWS_OF_SHORT_REQUESTS, SHORT_REQUESTS_IN_A_ROW = 16000, 30, 400
 ROWS_OF_API_REQUESTS, API_REQUESTS_IN_A_ROW = 48, 64
 # Paths of long answers of the API.
 CONFIGURATION_PATH, STATE_PATH = '/v1/configuration', '/v1/copy'
@@ -92,6 +93,14 @@
     site.settle()
 
 
+def requests_for_short_answers_in_a_row(site: sites.Site) -> None:
+    """Send many requests for answers of 16 KB on each connection without reading an answer."""
+    path = f'/{sites.ROUTE}/answer/{SHORT_ANSWER_BYTES}'
+    for _ in range(ROWS_OF_SHORT_REQUESTS):
+        site.crowd.connect(site.address, b''.join(site.attempt_bytes(path) for _ in range(SHORT_REQUESTS_IN_A_ROW)))
+    site.settle_requests()
+
+
 def waiting_bodies(site: sites.Site) -> None:
     """Send whole bodies to an endpoint that doesn't answer."""
     for _ in range(WAITING_BODIES):
@@ -178,6 +187,7 @@
     'unread answers': unread_answers,
     'unread answers without a length': unread_answers_without_length,
     'requests in a row': requests_in_a_row,
+    'requests for short answers in a row': requests_for_short_answers_in_a_row,
     'bodies that wait at an endpoint': waiting_bodies,
     'bodies of clients that left': bodies_of_clients_that_left,
     'health answers without end': health_answers,
--- a/features/support/misbehaving_clients/endpoint.py
+++ b/features/support/misbehaving_clients/endpoint.py
@@ -56,6 +56,8 @@
 
 def answer(self: SizedEndpoint, connection: socket.socket, head: bytes, size: int) -> bool:
     """Send an answer with an announced length."""
+    # A header that leaves by itself would wait for its acknowledgement before the body follows.
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.sendall(head + b'Content-Length: %d\r\n\r\n' % size)
     send_pieces(connection, size)
     return True
--- a/features/support/misbehaving_clients/site.py
+++ b/features/support/misbehaving_clients/site.py
@@ -277,6 +277,13 @@
         """Wait until the crowd has sent what the target takes, and the target rests."""
         self.crowd.settle(lambda: process_usage.processor_ticks(self.pid))
 
+    def settle_requests(self) -> None:
+        """Wait until the target rests, and no more requests reach the endpoints."""
+        known = -1
+        while known != (executed := sum(len(each.executed) for each in self.endpoints)):
+            known = executed
+            self.settle()
+
     # -- checks --------------------------------------------------------------------
 
     def check_usage(self) -> None:
--- a/zinctrail/transport/client_channel.py
+++ b/zinctrail/transport/client_channel.py
@@ -63,6 +63,8 @@
     is_refused = False
     # When the connection is aborted if the client has not closed it by then.
     abort_at: float | None = None
+    # A request whose response is complete and has not left the process yet; the next request waits for that.
+    finished_request: typing.Any = None
     # The response that is being written from a payload, and what writes it; None if none is.
     outgoing: payload.Payload | None = None
     producer: payload.PieceProducer | None = None
@@ -92,6 +94,7 @@
         self.site.clients.remove(self)
         self.drop_outgoing()
         super().connectionLost(reason)
+        self.finished_request = None
         self.holding.release()
         self.unsent.release()
 
@@ -208,8 +211,11 @@
         self.unsent.resize(self.pending_output())
 
     def requestDone(self, request: http.Request) -> None:
-        """Handle the end of the response; the next header may already have been received in part."""
+        """Handle the end of a response, once most of it has left the process: the next one may be large as well."""
         self.hold_output()
+        if self._waitingForTransport and self.persistent and not self.is_refused:
+            self.finished_request = request
+            return
         self.idle_since = self.site.clients.now()
         self.header_since = self.idle_since if self._dataBuffer else None
         self.header_bytes = 0
@@ -217,6 +223,13 @@
         self.clear_header_time()
         self.hold_input()
 
+    def resumeProducing(self) -> None:
+        """Handle the room in the transport: go on with the response, or with the request after it."""
+        super().resumeProducing()
+        if self.finished_request is not None and not self._waitingForTransport:
+            request, self.finished_request = self.finished_request, None
+            self.requestDone(request)
+
     def refuse(self, status: int) -> None:
         """Send an error response before the request is complete, and end the connection."""
         if self.is_refused:
