Requests and connections to endpoints keep within the descriptors of the machine

Callers saw a proxy without descriptors: each request that waits at an endpoint has a connection of its client and one to the endpoint, and neither the number of pending requests (512) nor that of connections to endpoints knew the machine. A proxy now has half as many pending requests as connections to endpoints, 27 % of the descriptors less 200 for files (with 4,100: 512 as before); one more is refused with 503, as before. Above that share it closes the connection to an endpoint that has been idle longest before it opens another.

--- a/zinctrail/proxy/open_pipeline.py
+++ b/zinctrail/proxy/open_pipeline.py
@@ -16,6 +16,7 @@
 import zinctrail.proxy.refusals as refusals
 import zinctrail.proxy.request as request_record
 import zinctrail.runtime.durations as durations
+import zinctrail.runtime.process_limits as process_limits
 
 GO, WAIT = request_record.GO, request_record.WAIT
 Request = request_record.Request
@@ -51,7 +52,7 @@
     if proxy.shutdown.refuses_open_traffic:
         # A request that is accepted now would still be in flight when the process has to exit.
         raise refusals.Unavailable('leaving', RETRY_LEAVING_MS)
-    if len(proxy.runner.requests) > proxy.settings.queue_most:
+    if len(proxy.runner.requests) > process_limits.max_pending_requests(proxy.settings):
         raise refusals.Unavailable('busy', retry_ms(proxy, request))
     if not proxy.has_lease():
         if proxy.now >= request.received_at + LEASE_WAIT:
--- a/zinctrail/proxy/pipeline.py
+++ b/zinctrail/proxy/pipeline.py
@@ -16,6 +16,7 @@
 import zinctrail.runtime.durations as durations
 import zinctrail.runtime.effects as effects
 import zinctrail.runtime.parsing as parsing
+import zinctrail.runtime.process_limits as process_limits
 
 GO, WAIT = request_record.GO, request_record.WAIT
 Request = request_record.Request
@@ -56,7 +57,7 @@
     read_path(request)
     homes = request.call.headers.get('zt-home', '').split(',')
     request.allowed_regions = tuple(region.strip() for region in homes if region.strip())
-    if len(proxy.runner.requests) > proxy.settings.queue_most:
+    if len(proxy.runner.requests) > process_limits.max_pending_requests(proxy.settings):
         raise refusals.Unavailable('busy', RETRY_BUSY_MS)
     require_lease(proxy, request)
     require_location(proxy, request)
--- a/zinctrail/runtime/process_limits.py
+++ b/zinctrail/runtime/process_limits.py
@@ -16,8 +16,12 @@
 SMALL_DIVISOR = 8
 # The descriptors that are kept for files: half of them, and at most this many.
 FILE_DESCRIPTORS = 200
-# The share of the other descriptors that may be connections of clients; the rest is for endpoints, peers and the disk.
+# The shares of the other descriptors that may be connections of clients, and connections to endpoints; the rest is
+# for peers and for the disk.
 CLIENT_SHARE = 0.58
+ENDPOINT_SHARE = 0.27
+# A hedged request has two connections.
+CONNECTIONS_PER_REQUEST = 2
 
 
 class ProcessLimits(typing.NamedTuple):
@@ -27,6 +31,7 @@
     # The part of `held_bytes` that only small requests and responses may use.
     small_bytes: int
     client_connections: int
+    endpoint_connections: int
 
 
 def process_limits(settings_: settings.Settings) -> ProcessLimits:
@@ -37,9 +42,16 @@
         held_bytes,
         held_bytes // SMALL_DIVISOR,
         max(1, int(CLIENT_SHARE * sockets)),
+        max(1, int(ENDPOINT_SHARE * sockets)),
     )
 
 
+def max_pending_requests(settings_: settings.Settings) -> int:
+    """Return how many requests a proxy may have pending: each may need connections to endpoints."""
+    connections = process_limits(settings_).endpoint_connections
+    return max(1, min(settings_.queue_most, connections // CONNECTIONS_PER_REQUEST))
+
+
 def within_system_limit(file_descriptors: int) -> int:
     """Return a number of file descriptors, at most the limit that the system sets for this process."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/zinctrail/transport/endpoint_client.py
+++ b/zinctrail/transport/endpoint_client.py
@@ -146,6 +146,8 @@
     # The request with a long body that is being written, and the last one that was; None if there is none.
     sending: LongRequest | None = None
     long_request: LongRequest | None = None
+    # True while the connection counts as open.
+    is_counted = True
     # The bytes of the header that is being received.
     header_bytes = 0
     # The limit of the body of the response.
@@ -270,14 +272,19 @@
         self,
         reactor: twisted_types.Reactor,
         account: byte_account.ByteAccount | None = None,
+        max_connections: int | None = None,
     ) -> None:
         """
         :param account: holds the bodies of responses; by default an account of this client alone.
+        :param max_connections: with more connections than this, idle ones are closed before another is opened.
         """
         limits = process_limits.process_limits(settings.Settings())
         self.reactor = reactor
         self.account = account or byte_account.ByteAccount(limits.held_bytes, limits.small_bytes)
+        self.max_connections = max_connections or limits.endpoint_connections
         self.waiting_readers = answer_reader.WaitingReaders(reactor)
+        # The number of connections that are open or being opened.
+        self.open_connections = 0
         # {incarnation: its idle connections}, the most recently used one last.
         self.idle: dict[str, list[EndpointConnection]] = {}
         # {incarnation that violated HTTP: until when its connections are not reused}.
@@ -299,8 +306,23 @@
         for connection in self.idle.pop(incarnation, ()):
             connection.transport.loseConnection()
 
+    def close_longest_idle(self) -> None:
+        """Close the connection that has been idle longest, if any is idle."""
+        idle = [connection for connections in self.idle.values() for connection in connections]
+        if idle:
+            connection = min(idle, key=lambda connection: connection.idle_since)
+            self.idle[connection.incarnation].remove(connection)
+            connection.transport.loseConnection()
+
+    def uncount(self, connection: EndpointConnection) -> None:
+        """Count a connection as open no longer."""
+        if connection.is_counted:
+            connection.is_counted = False
+            self.open_connections -= 1
+
     def closed(self, connection: EndpointConnection) -> None:
         """Remove a connection that has ended from the idle ones."""
+        self.uncount(connection)
         idle = self.idle.get(connection.incarnation)
         if idle and connection in idle:
             idle.remove(connection)
@@ -390,7 +412,10 @@
             connection.body_limit_bytes = body_limit_bytes
             return self.send(connection, method, path, headers, body, timeout, is_own_response)
         host, port = peer_connections.split_address(addr)
+        if self.open_connections >= self.max_connections:
+            self.close_longest_idle()
         self.opened += 1
+        self.open_connections += 1
         began = self.reactor.seconds()
         connection = EndpointConnection()
         # Set before the connection is opened, since it may end, or receive bytes, before `connected` is called.
@@ -405,6 +430,7 @@
             return self.send(connection, method, path, headers, body, remaining, is_own_response)
 
         def refused(reason: failure.Failure) -> effects.HttpResult:
+            self.uncount(connection)
             assert reason.type is not None
             return effects.HttpResult(sent=False, fault=reason.type.__name__)
 
--- a/zinctrail/transport/host.py
+++ b/zinctrail/transport/host.py
@@ -114,7 +114,9 @@
         header_names.limit_cache()
         limits = process_limits.process_limits(machine.settings)
         self.clients = client_connections.ClientConnections(limits, reactor)
-        self.endpoint_client = endpoint_client.EndpointClient(reactor, self.clients.account)
+        self.endpoint_client = endpoint_client.EndpointClient(
+            reactor, self.clients.account, limits.endpoint_connections
+        )
         # {fetch id: outstanding call to an endpoint}.
         self.fetches: dict[int, defer.Deferred[effects.HttpResult]] = {}
         # Inputs that are queued to be fed: (kind, arguments).
