Requests for one service take half of a proxy's places at most

Callers saw 503 (busy) for every service while requests to one of them waited for endpoints that didn't answer: they could take all places for pending requests, for as long as their route allows. The scenario of refusals_open.feature on the number of requests had one service only. It now has an example for each limit, and checks the text of the refusal.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -41,6 +41,11 @@
       | open traffic of a proxy   | an answer with endless headers  |
       | control plane             | health answers without end      |
 
+  Scenario: Requests that wait at an endpoint, at open traffic of a proxy
+    Given a process with the listener open traffic of a proxy
+    When a crowd comes with requests that wait at an endpoint
+    Then an ordinary request is answered before any of the crowd, and the process has kept within its limits
+
   Scenario: Requests for short answers in a row, at open traffic of a proxy
     Given a process with the listener open traffic of a proxy
     When a crowd comes with requests for short answers in a row
--- a/features/refusals_open.feature
+++ b/features/refusals_open.feature
@@ -15,10 +15,14 @@
     When a request gets no response for 1500 ms, and the lease ends after 100 ms
     Then it has been sent 1 times
 
-  Scenario: A proxy with more requests than it may hold refuses the next at once
-    Given a proxy of open traffic that may hold 3 requests, and whose endpoints are silent
-    When 6 requests arrive
-    Then 3 of them are refused at once as busy
+  Scenario Outline: A proxy with more requests than it may hold, in all or for one service, refuses the next at once
+    Given a proxy of open traffic that may hold <most> requests, and whose endpoints are silent
+    When <count> requests arrive
+    Then 3 of them are refused at once as <reason>
+    Examples:
+      | most | count | reason                             |
+      | 1    | 4     | busy                               |
+      | 6    | 6     | busy with requests for one service |
 
   Scenario: A request that was sent is not sent to another endpoint once the lease is over
     Given a proxy of open traffic whose rule allows 2 attempts
--- a/features/steps/misbehaving_clients_steps.py
+++ b/features/steps/misbehaving_clients_steps.py
@@ -66,6 +66,14 @@
     context.site.check_usage()
 
 
+@behave.then('an ordinary request is answered before any of the crowd, and the process has kept within its limits')
+def ordinary_request_is_answered_first(context):
+    context.site.wait_for_ordinary_answer()
+    first = context.site.crowd.connections[0]
+    assert not first.has_answer_or_end(), 'a request was served only after the first of the crowd had ended'
+    context.site.check_usage()
+
+
 @behave.then('a watch is let in while the first one still waits, and the process has kept within its limits')
 def watch_is_let_in(context):
     path = crowds.watch_path(context.site, wait_ms=100)
--- a/features/steps/refusals_open_steps.py
+++ b/features/steps/refusals_open_steps.py
@@ -67,8 +67,8 @@
     context.calls = [context.proxy.request() for _ in range(count)]
 
 
-@behave.then('{count:d} of them are refused at once as busy')
-def requests_are_refused_as_busy(context, count):
+@behave.then('{count:d} of them are refused at once as {reason}')
+def requests_are_refused_as_busy(context, count, reason):
     responses = [context.proxy.response(call) for call in context.calls]
     refused = [response for response in responses if response and response.status == 503]
-    assert len(refused) == count and all(b'busy' in response.body for response in refused), responses
+    assert len(refused) == count and all(response.body.decode() == f'{reason}\n' for response in refused), responses
--- a/features/support/misbehaving_clients/crowds.py
+++ b/features/support/misbehaving_clients/crowds.py
@@ -17,6 +17,7 @@
 SHORT_BODY_BYTES, SHORT_BODY_SENT_BYTES, SHORT_BODIES = 1_900_000, 1_500_000, 100
 ANSWER_BYTES = 8 * MIB
 ANSWERS = 24
+WAITING_REQUESTS = 250
 WAITING_BODIES, WAITING_BODY_BYTES = 12, 6_500_000
 LEFT_BODIES, LEFT_BODY_BYTES = 15, 7_500_000
 HEALTH_ANSWERS, HEALTH_ANSWER_BYTES = 8, 60 * MIB
@@ -101,6 +102,14 @@
     site.settle_requests()
 
 
+def waiting_requests(site: sites.Site) -> None:
+    """Send requests to an endpoint that doesn't answer."""
+    site.start_wide_endpoint()
+    for _ in range(WAITING_REQUESTS):
+        site.crowd.connect(site.address, site.attempt_bytes(f'/{sites.WIDE_ROUTE}/hold/0', 'POST'))
+    site.settle()
+
+
 def waiting_bodies(site: sites.Site) -> None:
     """Send whole bodies to an endpoint that doesn't answer."""
     for _ in range(WAITING_BODIES):
@@ -188,6 +197,7 @@
     'unread answers without a length': unread_answers_without_length,
     'requests in a row': requests_in_a_row,
     'requests for short answers in a row': requests_for_short_answers_in_a_row,
+    'requests that wait at an endpoint': waiting_requests,
     'bodies that wait at an endpoint': waiting_bodies,
     'bodies of clients that left': bodies_of_clients_that_left,
     'health answers without end': health_answers,
--- a/features/support/misbehaving_clients/site.py
+++ b/features/support/misbehaving_clients/site.py
@@ -31,6 +31,8 @@
 SLOTS = 32
 # Routes: requests may wait for some seconds; may wait for long; run at most once and may wait for long.
 ROUTE, LONG_ROUTE, ONCE_ROUTE = 'r1', 'r9', 'r2'
+# A route like the last one, to a service with room for very many requests.
+WIDE_ROUTE, WIDE_SERVICE, WIDE_SLOTS = 'r8', 'wide', 500
 ROUTE_TIMEOUT_MS, LONG_TIMEOUT_MS = 4000, 30000
 # So many routes that the configuration, and each copy of the state, has some 100 KB.
 FURTHER_ROUTES = 300
@@ -130,8 +132,19 @@
                 target_ms=LONG_TIMEOUT_MS,
                 attempt_limit=1,
             ),
+            platform_documents.route(
+                WIDE_ROUTE,
+                kind='non_idempotent',
+                service_name=WIDE_SERVICE,
+                timeout_ms=LONG_TIMEOUT_MS,
+                target_ms=LONG_TIMEOUT_MS,
+                attempt_limit=1,
+            ),
             *(platform_documents.route(f'further{number}') for number in range(FURTHER_ROUTES)),
         ]
+        first['upserts']['service_list'].append(
+            platform_documents.service(WIDE_SERVICE, connection_limit=WIDE_SLOTS, cold_start_s=0.0)
+        )
         response = self.call_control('PATCH', '/v1/configuration', first)
         assert response.status == 200, response
         return self
@@ -198,6 +211,14 @@
             self.endpoints.append(each)
             each.start()
 
+    def start_wide_endpoint(self) -> None:
+        """Start an endpoint with room for very many requests, and wait until the proxy knows it."""
+        ip = f'{self.network}.{deployment.FIRST_ENDPOINT + len(self.endpoints)}'
+        endpoint = sized_endpoint.SizedEndpoint(self, ip, WIDE_SERVICE, 'z1', slots=WIDE_SLOTS)
+        self.endpoints.append(endpoint)
+        endpoint.start()
+        self.wait_until(lambda: self.knows(self.edges[0], endpoint), 'the endpoint')
+
     def start_mute_endpoint(self, health_body_bytes: int) -> sized_endpoint.SizedEndpoint:
         """Start an endpoint that sends no further heartbeats, and long answers to health checks."""
         ip = f'{self.network}.{deployment.FIRST_ENDPOINT + len(self.endpoints)}'
--- a/zinctrail/proxy/open_pipeline.py
+++ b/zinctrail/proxy/open_pipeline.py
@@ -81,6 +81,9 @@
     request.latency_target = request.received_at + target
     request.queue_deadline = min(request.deadline, request.received_at + target / QUEUE_DIVISOR)
     proxy.set_timer_by('deadlines', request.deadline)
+    if proxy.runner.pending_in_pool[request.pool] >= process_limits.max_pending_in_pool(proxy.settings):
+        raise refusals.Unavailable('busy with requests for one service', retry_ms(proxy, request))
+    proxy.runner.count_in_pool(request)
     return GO
 
 
--- a/zinctrail/proxy/request.py
+++ b/zinctrail/proxy/request.py
@@ -77,6 +77,8 @@
     client_rule: configuration.RuleRow = dataclasses.field(default_factory=configuration.RuleRow)
     open_rule: configuration_items.RuleItem = dataclasses.field(default_factory=configuration_items.RuleItem)
     pool: str = ''
+    # Open traffic: the pool among whose pending requests it counts. Set by the runner.
+    counted_pool: str = ''
     at_most_once: bool = True
     # Open traffic: the time by which a response is wanted, and until when the request may wait for room. Set by
     # match_route.
--- a/zinctrail/proxy/request_runner.py
+++ b/zinctrail/proxy/request_runner.py
@@ -1,5 +1,6 @@
 """Runs requests through the stages of their pipeline: parking, resumption, refusal, deadlines."""
 
+import collections
 import typing
 
 import zinctrail.proxy.open_pipeline as open_pipeline
@@ -29,6 +30,8 @@
         super().__init__(proxy)
         # {call id: Request}: the pending requests, which have no response yet.
         self.requests: dict[typing.Any, Request] = {}
+        # How many pending requests of open traffic each pool has.
+        self.pending_in_pool: collections.Counter[str] = collections.Counter()
 
     def begin_client_request(self, call_id: typing.Any, call: effects.HttpRequest) -> None:
         """Start the pipeline of a client's request."""
@@ -45,6 +48,13 @@
     def remove(self, request: Request) -> None:
         """Remove a request that has its response, or whose caller disconnected."""
         del self.requests[request.call_id]
+        if request.counted_pool:
+            self.pending_in_pool[request.counted_pool] -= 1
+
+    def count_in_pool(self, request: Request) -> None:
+        """Count a request among the pending ones of its pool, until it is removed."""
+        request.counted_pool = request.pool
+        self.pending_in_pool[request.pool] += 1
 
     def begin(self, request: Request) -> None:
         """Add a request and run its stages."""
--- a/zinctrail/runtime/process_limits.py
+++ b/zinctrail/runtime/process_limits.py
@@ -20,6 +20,8 @@
 # for peers and for the disk.
 CLIENT_SHARE = 0.58
 ENDPOINT_SHARE = 0.27
+# One part in this many of the pending requests may be for the same pool, so that others are served beside it.
+POOL_DIVISOR = 2
 # A hedged request has two connections.
 CONNECTIONS_PER_REQUEST = 2
 
@@ -52,6 +54,11 @@
     return max(1, min(settings_.queue_most, connections // CONNECTIONS_PER_REQUEST))
 
 
+def max_pending_in_pool(settings_: settings.Settings) -> int:
+    """Return how many of the pending requests of open traffic may be for the same pool."""
+    return max(1, max_pending_requests(settings_) // POOL_DIVISOR)
+
+
 def within_system_limit(file_descriptors: int) -> int:
     """Return a number of file descriptors, at most the limit that the system sets for this process."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
