Stored results of at-most-once requests take a twentieth of a proxy's memory at most

A client of the client library makes a proxy store the result of each of its at-most-once requests, for 70 s. Cause: the limit of their sum was 64 MiB whatever the machine, beside all that is held for others. It is now a twentieth of the memory (15 MB of 300), and 64 MB at most. An attempt whose result was evicted gets the outcome "unknown", as before.

--- a/features/refusals_proxy.feature
+++ b/features/refusals_proxy.feature
@@ -84,3 +84,8 @@
     When 2500 ms pass without a lease
     And 1000 ms pass without a lease
     Then no credit was requested
+
+  Scenario: Stored results keep within a twentieth of the memory of the machine
+    Given a proxy with a lease, on a machine of 128 MB
+    When 100 requests that run at most once end with a result of 500000 bytes
+    Then the stored results have 6400000 bytes at most, and the newest is among them
--- a/features/steps/refusals_proxy_steps.py
+++ b/features/steps/refusals_proxy_steps.py
@@ -6,6 +6,8 @@
 
 import features.support.following_proxy as following_proxy
 import features.support.machine_host as machine_host
+import zinctrail.proxy.at_most_once as at_most_once
+import zinctrail.proxy.request as request_record
 
 REQUEST_ID = f'{following_proxy.EPOCH}.a'
 SECOND_ID = f'{following_proxy.EPOCH}.b'
@@ -190,3 +192,32 @@
 @behave.then('no claim is requested')
 def no_claim_is_requested(context):
     assert not context.proxy.sent_all('ask')
+
+
+# -- stored results ---------------------------------------------------------------------
+
+
+@behave.given('a proxy with a lease, on a machine of {memory_mb:d} MB')
+def proxy_on_machine(context, memory_mb: int):
+    context.proxy = following_proxy.FollowingProxy()
+    context.proxy.machine.settings.memory_mb = memory_mb
+
+
+@behave.when('{count:d} requests that run at most once end with a result of {size:d} bytes')
+def requests_end_with_results(context, count: int, size: int):
+    results = context.proxy.machine.at_most_once
+    for number in range(count):
+        request = request_record.Request(number, None, context.proxy.now, id=f'{following_proxy.EPOCH}.{number}')
+        results.begin_result(request)
+        response = at_most_once.StoredResponse(200, {}, b'r' * size)
+        results.end_result(request, results.stored_results[request.id], response, has_run=True)
+    context.newest, context.result_bytes = request.id, size
+
+
+@behave.then('the stored results have {limit:d} bytes at most, and the newest is among them')
+def stored_results_are_limited(context, limit: int):
+    results = context.proxy.machine.at_most_once
+    # The limit is enforced when the next request begins.
+    assert results.stored_bytes <= limit + context.result_bytes, results.stored_bytes
+    assert results.stored_bytes == sum(len(each.response.body) for each in results.stored_results.values())
+    assert context.newest in results.stored_results
--- a/zinctrail/proxy/at_most_once.py
+++ b/zinctrail/proxy/at_most_once.py
@@ -12,11 +12,12 @@
 import zinctrail.proxy.proxy_part as proxy_part
 import zinctrail.proxy.refusals as refusals
 import zinctrail.proxy.request as request_record
+import zinctrail.runtime.process_limits as process_limits
 
 Request = request_record.Request
-# Bounds on the memory for stored results; an attempt whose result was evicted gets the outcome "unknown".
+# The limit of the number of stored results, beside that of their bytes; an attempt whose result was evicted gets the
+# outcome "unknown".
 MAX_STORED_RESULTS = 20000
-MAX_STORED_BYTES = 64 << 20
 RETRY_NO_CLAIM_MS = 500
 RETRY_CLAIM_CLOSED_MS = 200
 
@@ -83,7 +84,8 @@
     def begin_result(self, request: Request) -> None:
         """Record that an attempt is in progress; evict the oldest results while the bounds are exceeded."""
         self.stored_results[request.id] = StoredResult(epoch_of(request), request.claim_nonce)
-        while len(self.stored_results) > MAX_STORED_RESULTS or self.stored_bytes > MAX_STORED_BYTES:
+        max_bytes = process_limits.max_stored_bytes(self.proxy.settings)
+        while len(self.stored_results) > MAX_STORED_RESULTS or self.stored_bytes > max_bytes:
             oldest_id, oldest = next(iter(self.stored_results.items()))
             if oldest.is_running:
                 break
--- a/zinctrail/runtime/process_limits.py
+++ b/zinctrail/runtime/process_limits.py
@@ -14,6 +14,9 @@
 MIN_HELD_BYTES = 8 * MEGABYTE
 # One part in this many of what may be held is kept for small requests and responses.
 SMALL_DIVISOR = 8
+# The share of the memory for the results of at-most-once requests, which a proxy stores, and the most of it.
+STORED_SHARE = 0.05
+MAX_STORED_BYTES = 64 * MEGABYTE
 # The descriptors that are kept for files: half of them, and at most this many.
 FILE_DESCRIPTORS = 200
 # The shares of the other descriptors that may be connections of clients, and connections to endpoints; the rest is
@@ -59,6 +62,11 @@
     return max(1, max_pending_requests(settings_) // POOL_DIVISOR)
 
 
+def max_stored_bytes(settings_: settings.Settings) -> int:
+    """Return how many bytes of results of at-most-once requests a proxy may store."""
+    return min(MAX_STORED_BYTES, int(STORED_SHARE * settings_.memory_mb * MEGABYTE))
+
+
 def within_system_limit(file_descriptors: int) -> int:
     """Return a number of file descriptors, at most the limit that the system sets for this process."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
