--- a/features/support/misbehaving_clients/site.py
+++ b/features/support/misbehaving_clients/site.py
@@ -321,6 +321,8 @@
             'descriptors': usage.descriptors > self.limits['file_descriptors'],
             'sockets': usage.sockets > self.limits['file_descriptors'] - FILES,
         }
+        with open(self.target.log_file, encoding='utf-8', errors='replace') as log:
+            assert 'Traceback' not in log.read(), f'the process logged a traceback: {self.target.log_file}'
         assert not any(over.values()), (
             f'over its limits: {[name for name, is_over in over.items() if is_over]}',
             usage,
