Soak: crowds of misbehaving clients among the disturbances

Cause: no run had misbehaving clients beside signals, restarts and changes. A crowd opens 120 connections to a proxy, more than its 400 descriptors allow (174 with 32 soak clients beside them; 100 MB), sends unfinished headers and bodies, rows of requests to no route, or nothing, reads nothing, and leaves by a reset. The verdicts stay as they are: whatever a crowd does, soak clients lose and double nothing.

--- a/features/support/soak/disturbances.py
+++ b/features/support/soak/disturbances.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import json
 import random
 import signal
@@ -15,6 +16,17 @@
 EVACUATION_S = (1.0, 3.0)
 SERIES_GAP_S = (0.2, 1.2)
 SIGNAL_GAP_S = (0.0, 0.5)
+# A crowd of misbehaving clients: its connections, how long they stay, and what each sends. None of it is a request that
+# may run: unfinished ones, and many for a path without a route.
+CROWD_CONNECTIONS = 120
+CROWD_S = (0.2, 2.5)
+CROWD_CONNECT_S = 0.5
+UNFINISHED = (
+    b'',
+    b'GET /s1/x HTTP/1.1\r\nHost: any.example\r\nX-Long: ' + b'y' * 12000,
+    b'POST /s2/x HTTP/1.1\r\nHost: any.example\r\nContent-Length: 900000\r\n\r\n' + b'b' * 600000,
+    b'GET /none HTTP/1.1\r\nHost: any.example\r\nZinctrail-Attempt-Id: crowd\r\n\r\n' * 400,
+)
 
 Disturbance = collections.abc.Callable[['Disturbances'], collections.abc.Coroutine]
 
@@ -203,6 +215,23 @@
     await soak.add_endpoint(old.service_name, old.zone)
 
 
+async def misbehave(disturbances: Disturbances) -> None:
+    """Send a crowd to a proxy that opens more connections than it may have, finishes no request, and reads nothing."""
+    process = disturbances.any_edge()
+    disturbances.soak.records.event(f'crowd {process.process.name}')
+    host, _, port = process.process.ingress.rpartition(':')
+    writers = []
+    for _ in range(CROWD_CONNECTIONS):
+        # The process may be down, and may refuse or end any of these connections.
+        with contextlib.suppress(OSError, TimeoutError):
+            _, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), CROWD_CONNECT_S)
+            writers.append(writer)
+            writer.write(disturbances.rng.choice(UNFINISHED))
+    await disturbances.pause(CROWD_S)
+    for writer in writers:
+        writer.transport.abort()
+
+
 ALL: dict[str, Disturbance] = {
     function.__name__: function
     for function in (
@@ -219,6 +248,7 @@
         evacuate,
         replace_endpoint,
         crash_endpoint,
+        misbehave,
     )
 }
 # The relative frequency of each disturbance.
@@ -236,6 +266,7 @@
     'evacuate': 1,
     'replace_endpoint': 3,
     'crash_endpoint': 1,
+    'misbehave': 3,
 }
 
 
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -25,6 +25,8 @@
 ENDPOINTS_PER_SERVICE = 4
 CLIENTS_PER_ZONE = 8
 ROUTE_TIMEOUT_MS = 3500
+# So few that crowds of misbehaving clients meet the limits of a proxy.
+EDGE_DESCRIPTORS, EDGE_MEMORY_MB = 400, 100
 # A little more than the longest time that idle connections to endpoints stay open.
 IDLE_S = 4.5
 # The interval of the measurement of the event loop's lag.
@@ -75,6 +77,8 @@
         self.records = soak_records.Records()
         self.is_over = False
         self.deployment = deployment.Deployment(cores, edges)
+        for process in self.deployment.edges:
+            process.settings['limits'].update(file_descriptors=EDGE_DESCRIPTORS, memory_mb=EDGE_MEMORY_MB)
         self.keepers = [keepers.Keeper(self, process) for process in self.deployment.processes]
         self.cores, self.edges = self.keepers[:cores], self.keepers[cores:]
         self.zones = list(platform_documents.ZONES)
