A request for whose header there is no room is refused before it is passed on

Callers could see a connection closed without an answer although their request was passed on. Cause: the bytes of a complete request's header were counted only after it had been passed on, and without room for them the connection was aborted. They are counted at the end of the header, where 503 is still true.

--- a/features/open.feature
+++ b/features/open.feature
@@ -55,6 +55,11 @@
       | before |
       | after  |
 
+  Scenario: A request for which the process has no room is refused before it is passed on
+    Given an ingress with header_bytes 1000, body_bytes 2000, header_ms 300, idle_ms 600
+    When a client is connected, and then the process holds all that it may
+    Then its request gets 503, and is not passed on
+
   Scenario: A proxy hands on the operator's limits when they change
     Given a proxy for open traffic with 1 endpoints
     When the limits item sets idle_ms to 700
--- a/features/steps/open_limits_steps.py
+++ b/features/steps/open_limits_steps.py
@@ -93,6 +93,26 @@
     assert reactor_thread.call(lambda: ingress.server.buffered_bytes) == 0
 
 
+@behave.when('a client is connected, and then the process holds all that it may')
+def process_has_no_room(context):
+    context.client = context.ingress.connect()
+    reactor_thread.wait_for(lambda: context.ingress.server.connections)
+    account = context.ingress.server.clients.account
+
+    def hold_all():
+        account.held_bytes = account.capacity_bytes
+
+    reactor_thread.call(hold_all)
+
+
+@behave.then('its request gets 503, and is not passed on')
+def request_is_refused_for_lack_of_room(context):
+    context.client.send(open_traffic_ingress.REQUEST)
+    received = context.client.read()
+    assert received.startswith(b'HTTP/1.1 503 ') and b'Retry-After' in received, received
+    assert not context.ingress.requests, context.ingress.requests
+
+
 @behave.when("a client's request is served")
 def client_is_served(context):
     context.client = context.ingress.connect()
--- a/zinctrail/transport/client_channel.py
+++ b/zinctrail/transport/client_channel.py
@@ -155,11 +155,14 @@
             super().rawDataReceived(data)
 
     def allHeadersReceived(self) -> None:
-        """Handle the end of the header: the body begins."""
+        """Handle the end of the header: the body begins, if there is room for the request."""
         self.header_since, self.is_in_body = None, True
         self.header_bytes = self.partial_header_bytes()
         self._receivedHeaderSize = self._receivedHeaderCount = 0
-        super().allHeadersReceived()
+        # Before the request is passed on: later it could not be refused.
+        self.hold_input()
+        if not self.is_refused:
+            super().allHeadersReceived()
 
     def allContentReceived(self) -> None:
         """Handle the end of the body."""
