Clients that send many requests in a row take turns with the others

Callers saw a proxy that answered nobody for seconds, and that lost its leader meanwhile, while clients sent hundreds of cheap requests in a row on each connection. Cause: all requests that one read had brought (up to 64 KB) were served before another connection was looked at: 30 connections with 400 requests each were 12,000 in one turn of the event loop. After a response, the next request that has already arrived on the same connection now waits for the next turn. Red before: "Clients that send many requests in a row take turns" (open.feature).

--- a/features/open.feature
+++ b/features/open.feature
@@ -60,6 +60,11 @@
     When a client is connected, and then the process holds all that it may
     Then its request gets 503, and is not passed on
 
+  Scenario: Clients that send many requests in a row take turns
+    Given an ingress that responds at once
+    When 3 clients each send 20 requests in a row
+    Then no client's next request is passed on before a request of every client
+
   Scenario: A proxy hands on the operator's limits when they change
     Given a proxy for open traffic with 1 endpoints
     When the limits item sets idle_ms to 700
--- a/features/steps/open_limits_steps.py
+++ b/features/steps/open_limits_steps.py
@@ -113,6 +113,59 @@
     assert not context.ingress.requests, context.ingress.requests
 
 
+@behave.given('an ingress that responds at once')
+def ingress_that_responds(context):
+    context.ingress = open_traffic_ingress.OpenTrafficIngress()
+    record = context.ingress.host.feed
+
+    def feed(kind, request_id, call=None):
+        record(kind, request_id, call)
+        if kind == 'front':
+            context.ingress.server.respond(effects.HttpResponse(request_id, 404, {}, b''))
+
+    context.ingress.host.feed = feed
+
+
+@behave.when('{clients:d} clients each send {count:d} requests in a row')
+def clients_send_rows(context, clients: int, count: int):
+    context.clients = [context.ingress.connect() for _ in range(clients)]
+    reactor_thread.wait_for(lambda: len(context.ingress.server.connections) == clients)
+
+    def send_all():
+        # On the reactor's thread, so that it finds the input of all clients at the same time.
+        for number, client in enumerate(context.clients):
+            client.send(b'GET /%d HTTP/1.1\r\nHost: h\r\nzt-id: 1\r\n\r\n' % number * count)
+
+    reactor_thread.call(send_all)
+    reactor_thread.wait_for(lambda: len(context.ingress.requests) == clients * count)
+
+
+@behave.then("no client's next request is passed on before a request of every client")
+def clients_take_turns(context):
+    paths = [call.path for _, call in context.ingress.requests]
+    size = len(context.clients)
+    rounds = [sorted(paths[start : start + size]) for start in range(0, len(paths), size)]
+    assert all(each == rounds[0] and len(set(each)) == size for each in rounds), paths
+
+
+@behave.when('a request arrives on an idle connection just before room is made')
+def request_arrives_before_eviction(context):
+    ingress = context.ingress
+    context.client = ingress.connect()
+    reactor_thread.wait_for(lambda: ingress.server.connections)
+
+    def send_and_make_room():
+        context.client.send(open_traffic_ingress.REQUEST)
+        ingress.server.clients.evict(None)
+
+    reactor_thread.call(send_and_make_room)
+
+
+@behave.then('it is passed on')
+def request_is_passed_on(context):
+    reactor_thread.wait_for(lambda: context.ingress.requests)
+
+
 @behave.when("a client's request is served")
 def client_is_served(context):
     context.client = context.ingress.connect()
--- a/zinctrail/transport/client_channel.py
+++ b/zinctrail/transport/client_channel.py
@@ -63,7 +63,7 @@
     is_refused = False
     # When the connection is aborted if the client has not closed it by then.
     abort_at: float | None = None
-    # A request whose response is complete and has not left the process yet; the next request waits for that.
+    # A request whose response is complete; the next request waits until it has left the process, and for others.
     finished_request: typing.Any = None
     # The response that is being written from a payload, and what writes it; None if none is.
     outgoing: payload.Payload | None = None
@@ -214,11 +214,27 @@
         self.unsent.resize(self.pending_output())
 
     def requestDone(self, request: http.Request) -> None:
-        """Handle the end of a response, once most of it has left the process: the next one may be large as well."""
+        """Handle the end of a response. A request that follows it in the same input waits for other connections.
+
+        It also waits until most of the response has left the process: the next one may be large as well.
+        """
         self.hold_output()
-        if self._waitingForTransport and self.persistent and not self.is_refused:
-            self.finished_request = request
+        has_more_input = bool(self._dataBuffer or self._buffer)
+        if self.is_refused or not self.persistent or not (self._waitingForTransport or has_more_input):
+            self.complete_request(request)
+            return
+        self.finished_request = request
+        self.site.clients.reactor.callLater(0, self.complete_finished_request)
+
+    def complete_finished_request(self) -> None:
+        """Go on with the next request, unless the last response still has to leave the process."""
+        if self.finished_request is None or self._waitingForTransport:
             return
+        request, self.finished_request = self.finished_request, None
+        self.complete_request(request)
+
+    def complete_request(self, request: http.Request) -> None:
+        """Begin with the next request, of which a part may have been received."""
         self.idle_since = self.site.clients.now()
         self.header_since = self.idle_since if self._dataBuffer else None
         self.header_bytes = 0
@@ -229,9 +245,7 @@
     def resumeProducing(self) -> None:
         """Handle the room in the transport: go on with the response, or with the request after it."""
         super().resumeProducing()
-        if self.finished_request is not None and not self._waitingForTransport:
-            request, self.finished_request = self.finished_request, None
-            self.requestDone(request)
+        self.complete_finished_request()
 
     def refuse(self, status: int) -> None:
         """Send an error response before the request is complete, and end the connection."""
