A connection whose next request has arrived is not closed to make room for another

Callers could lose a request that had reached the process and was not read yet: to make room, the connection that is idle longest is closed, and one whose request waits in its socket looks idle. Before it closes an idle connection, a process now looks whether input is there, and closes the next one then.

--- a/features/open.feature
+++ b/features/open.feature
@@ -65,6 +65,11 @@
     When 3 clients each send 20 requests in a row
     Then no client's next request is passed on before a request of every client
 
+  Scenario: A connection whose next request has arrived is not closed to make room for another
+    Given an ingress with header_bytes 1000, body_bytes 2000, header_ms 300, idle_ms 600
+    When a request arrives on an idle connection just before room is made
+    Then it is passed on
+
   Scenario: A proxy hands on the operator's limits when they change
     Given a proxy for open traffic with 1 endpoints
     When the limits item sets idle_ms to 700
--- a/zinctrail/transport/client_channel.py
+++ b/zinctrail/transport/client_channel.py
@@ -318,6 +318,13 @@
             return None
         return IDLE_RANK, self.idle_since
 
+    def has_unread_input(self) -> bool:
+        """True if the client has sent bytes that were not read yet."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def evict(self) -> None:
         """Close the connection to make room; at once, unless it is idle."""
         is_idle = self.is_idle() and self.abort_at is None and not self.unsent.size
--- a/zinctrail/transport/client_connections.py
+++ b/zinctrail/transport/client_connections.py
@@ -54,9 +54,17 @@
         """Close the connections that are needed least; return False if all are needed."""
         ranked = [(channel.eviction_rank(), channel) for channel in self.channels if channel is not newcomer]
         candidates = sorted(((rank, id(channel), channel) for rank, channel in ranked if rank is not None))
-        for _, _, channel in candidates[: 1 + self.max_connections // EVICTION_DIVISOR]:
+        wanted = 1 + self.max_connections // EVICTION_DIVISOR
+        closed = 0
+        for _, _, channel in candidates:
+            # A request that has arrived and waits to be read would be lost.
+            if channel.is_idle() and channel.has_unread_input():
+                continue
             self.close(channel)
-        return bool(candidates)
+            closed += 1
+            if closed == wanted:
+                break
+        return bool(closed)
 
     def close(self, channel: 'client_channel.ClientChannel') -> None:
         """Close a connection to make room."""
